Serve a lookup and a booking through separate processes

Cause: nothing existed.

Change: one binary with a supervisor tree (control, configuration watch, peers, admin, callers, servers), the four lists with strict checks, pools of nbhttp connections to servers, and a stand-in platform and servers. A call states its outcome, server and trace id.

Limits are not enforced yet.

--- /dev/null
+++ b/internal/standin/fleet.go
@@ -0,0 +1,213 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"sync"
+	"syscall"
+
+	"github.com/pkg/errors"
+
+	"github.com/baobabstack/baobabstack/internal/lists"
+)
+
+// FleetOptions configures a fleet for a test.
+type FleetOptions struct {
+	// Entries is the number of entry processes.
+	Entries int
+	// Servers configures the fake servers of each service.
+	Servers map[string][]ServerOptions
+	// Plans and Allowances are the operators' lists; the samples if nil.
+	Plans, Allowances []byte
+	// Binary is the program to run as entries; see BuildBinary.
+	Binary string
+	// Log takes the entries' logs; nil drops them.
+	Log io.Writer
+}
+
+// Fleet is a platform and fake servers in this process, and entries as
+// processes of their own.
+type Fleet struct {
+	// Platform is the configuration service.
+	Platform *Platform
+	// PlatformURL is its base URL.
+	PlatformURL string
+	// Servers holds the fake servers by id.
+	Servers map[string]*RunningServer
+	// Entries holds the entries in order.
+	Entries []*EntryProcess
+
+	dir     string
+	options FleetOptions
+	http    []*http.Server
+}
+
+// RunningServer is a fake server with a listener.
+type RunningServer struct {
+	*Server
+	// Info is the server's line in the platform's list.
+	Info lists.Server
+
+	http *http.Server
+}
+
+// Kill closes the listener and all connections at once.
+func (s *RunningServer) Kill() error { return errors.WithStack(s.http.Close()) }
+
+// StartFleet starts everything and waits until each entry is ready. Close ends
+// it, also after an error.
+func StartFleet(ctx context.Context, o FleetOptions) (*Fleet, error) {
+	f := &Fleet{Platform: NewPlatform(), Servers: make(map[string]*RunningServer), options: o}
+	if err := f.start(ctx); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start(ctx context.Context) error {
+	dir, err := os.MkdirTemp("", "baobabstack-fleet-")
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	f.dir = dir
+	server, address, err := listen(f.Platform.Handler())
+	if err != nil {
+		return err
+	}
+	f.http = append(f.http, server)
+	f.PlatformURL = "http://" + address
+	for service, options := range f.options.Servers {
+		for _, o := range options {
+			if err := f.addServer(service, o); err != nil {
+				return err
+			}
+		}
+	}
+	for i := range f.options.Entries {
+		e, err := NewEntryProcess(fmt.Sprintf("vm-%d", i+1))
+		if err != nil {
+			return err
+		}
+		f.Entries = append(f.Entries, e)
+	}
+	f.publishAll()
+	return f.startEntries(ctx)
+}
+
+func (f *Fleet) addServer(service string, o ServerOptions) error {
+	s := NewServer(o)
+	server, address, err := listen(s.Handler())
+	if err != nil {
+		return err
+	}
+	info := lists.Server{ID: o.ID, Service: service, Address: address, DataCentre: "modjo", State: lists.Live}
+	f.Servers[o.ID] = &RunningServer{Server: s, Info: info, http: server}
+	return nil
+}
+
+func (f *Fleet) publishAll() {
+	plans, allowances := f.options.Plans, f.options.Allowances
+	if plans == nil {
+		plans = SamplePlans()
+	}
+	if allowances == nil {
+		allowances = SampleAllowances()
+	}
+	f.Platform.Publish(string(lists.PlansName), plans)
+	f.Platform.Publish(string(lists.AllowancesName), allowances)
+	f.PublishServers()
+	f.PublishVMs()
+}
+
+// PublishServers publishes the servers list as Info says.
+func (f *Fleet) PublishServers() {
+	var list []lists.Server
+	for _, s := range f.Servers {
+		list = append(list, s.Info)
+	}
+	f.Platform.Publish(string(lists.ServersName), SampleServers(list))
+}
+
+// PublishVMs publishes the list of all entries as live.
+func (f *Fleet) PublishVMs() {
+	var list []lists.VM
+	for _, e := range f.Entries {
+		list = append(list, e.VM())
+	}
+	f.Platform.Publish(string(lists.VMsName), SampleVMs(list))
+}
+
+func (f *Fleet) startEntries(ctx context.Context) error {
+	for _, e := range f.Entries {
+		if err := f.StartEntry(e); err != nil {
+			return err
+		}
+	}
+	for _, e := range f.Entries {
+		if err := e.WaitReady(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// StartEntry starts an entry's process, again after it has ended.
+func (f *Fleet) StartEntry(e *EntryProcess) error {
+	log := f.options.Log
+	if log == nil {
+		log = io.Discard
+	}
+	return e.Start(f.options.Binary, f.dir, f.PlatformURL, log)
+}
+
+// Close kills the entries and closes everything.
+func (f *Fleet) Close() {
+	for _, e := range f.Entries {
+		if e.cmd == nil || e.cmd.Process == nil {
+			continue
+		}
+		_ = e.Signal(syscall.SIGKILL)
+		_ = e.Wait()
+	}
+	for _, s := range f.Servers {
+		_ = s.http.Close()
+	}
+	for _, s := range f.http {
+		_ = s.Close()
+	}
+	_ = os.RemoveAll(f.dir)
+}
+
+func listen(h http.Handler) (*http.Server, string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, "", errors.WithStack(err)
+	}
+	server := &http.Server{Handler: h}
+	go func() { _ = server.Serve(listener) }()
+	return server, listener.Addr().String(), nil
+}
+
+var buildMu sync.Mutex
+
+// BuildBinary builds the program with optional build tags into dir and returns
+// its path.
+func BuildBinary(dir string, tags string) (string, error) {
+	buildMu.Lock()
+	defer buildMu.Unlock()
+	_, file, _, _ := runtime.Caller(0)
+	root := filepath.Join(filepath.Dir(file), "..", "..")
+	binary := filepath.Join(dir, "baobabstack")
+	cmd := exec.Command("go", "build", "-tags", tags, "-o", binary, "./cmd/baobabstack")
+	cmd.Dir = root
+	out, err := cmd.CombinedOutput()
+	return binary, errors.Wrapf(err, "build: %s", out)
+}
--- /dev/null
+++ b/internal/supervisor/servers/conn.go
@@ -0,0 +1,81 @@
+package servers
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/lesismal/nbio/nbhttp"
+	"github.com/pkg/errors"
+)
+
+// conn is one connection to a server; it carries one call at a time.
+type conn struct {
+	client   *nbhttp.ClientConn
+	lastUsed time.Time
+}
+
+type reply struct {
+	status int
+	header http.Header
+	body   []byte
+	err    error
+}
+
+// dial opens a connection. No byte is sent on it.
+func dial(ctx context.Context, engine *nbhttp.Engine, address string) (*conn, error) {
+	var dialer net.Dialer
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "connect to %s", address)
+	}
+	client := &nbhttp.ClientConn{
+		Engine: engine,
+		Dial:   func(_, _ string) (net.Conn, error) { return raw, nil },
+	}
+	return &conn{client: client, lastUsed: time.Now()}, nil
+}
+
+// exchange sends a request and waits for the whole answer. From the call on,
+// bytes of the request may have reached the server.
+func (c *conn) exchange(ctx context.Context, req *http.Request) reply {
+	done := make(chan reply, 1)
+	c.client.Do(req, func(res *http.Response, _ net.Conn, err error) {
+		done <- readReply(req.Method, res, err)
+	})
+	select {
+	case r := <-done:
+		c.lastUsed = time.Now()
+		return r
+	case <-ctx.Done():
+		return reply{err: errors.WithStack(ctx.Err())}
+	}
+}
+
+func (c *conn) close() { c.client.Close() }
+
+var errNoLength = errors.New("the answer has neither a length nor chunks, so its end is not known")
+
+// readReply copies an answer; the library recycles it after the callback.
+func readReply(method string, res *http.Response, err error) reply {
+	if err != nil {
+		return reply{err: errors.WithStack(err)}
+	}
+	if res.ContentLength < 0 && len(res.Header["Transfer-Encoding"]) == 0 && mayHaveBody(method, res.StatusCode) {
+		return reply{err: errors.WithStack(errNoLength)}
+	}
+	var body bytes.Buffer
+	if res.Body != nil {
+		if _, err := io.Copy(&body, res.Body); err != nil {
+			return reply{err: errors.WithStack(err)}
+		}
+	}
+	return reply{status: res.StatusCode, header: res.Header.Clone(), body: body.Bytes()}
+}
+
+func mayHaveBody(method string, status int) bool {
+	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
+}
--- /dev/null
+++ b/internal/supervisor/supervisor.go
@@ -0,0 +1,92 @@
+// Package supervisor builds and runs the tree of an entry's parts. Each
+// subfolder is one supervised child.
+package supervisor
+
+import (
+	"context"
+	"time"
+
+	"github.com/lesismal/nbio/nbhttp"
+	"github.com/pkg/errors"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/baobabstack/baobabstack/internal/clock"
+	"github.com/baobabstack/baobabstack/internal/dispatch"
+	"github.com/baobabstack/baobabstack/internal/lists"
+	"github.com/baobabstack/baobabstack/internal/logs"
+	"github.com/baobabstack/baobabstack/internal/settings"
+	"github.com/baobabstack/baobabstack/internal/supervisor/admin"
+	"github.com/baobabstack/baobabstack/internal/supervisor/callers"
+	"github.com/baobabstack/baobabstack/internal/supervisor/configuration"
+	"github.com/baobabstack/baobabstack/internal/supervisor/control"
+	"github.com/baobabstack/baobabstack/internal/supervisor/peers"
+	"github.com/baobabstack/baobabstack/internal/supervisor/servers"
+	"github.com/baobabstack/baobabstack/internal/tracing"
+	"github.com/baobabstack/baobabstack/internal/view"
+)
+
+const (
+	drainTimeout = 30 * time.Second
+	flushTimeout = 2 * time.Second
+)
+
+// Run runs an entry until the context ends, then stops it gracefully: no new
+// calls, calls in flight end, then the listeners close.
+func Run(ctx context.Context, s *settings.Settings) error {
+	log := logs.For("supervisor")
+	stopTracing, err := tracing.Setup(ctx, s.Tracing.Endpoint, s.Entry.ID)
+	if err != nil {
+		return err
+	}
+	engine := nbhttp.NewEngine(nbhttp.Config{
+		Name: "servers", ReadLimit: s.Callers.MaxBodyBytes + 1<<16, MaxHTTPBodySize: s.Callers.MaxBodyBytes,
+		ServerExecutor: func(f func()) { go f() }, ClientExecutor: func(f func()) { go f() },
+	})
+	if err := engine.Start(); err != nil {
+		return errors.Wrap(err, "supervisor: start the servers' engine")
+	}
+	defer engine.Stop()
+
+	holder := &view.Holder{}
+	ctl := control.New(s.Peers.Address, holder, servers.NewRegistry(engine))
+	dispatcher := dispatch.New(dispatch.Unlimited{}, dispatch.NewAttempts(holder, clock.Boot{}))
+	handler := callers.NewHandler(holder, clock.Boot{}, dispatcher, s.Callers.MaxInFlight)
+
+	root := suture.New("entry", suture.Spec{EventHook: func(e suture.Event) { log.Warnf("%s", e) }})
+	root.Add(ctl)
+	for _, name := range lists.Names() {
+		root.Add(configuration.NewWatcher(name, s.Configuration.URL, holder, ctl))
+	}
+	root.Add(peers.NewService(s.Peers.Address, holder, ctl))
+	root.Add(admin.NewService(s.Admin.Address, holder))
+	root.Add(callers.NewService(s.Callers.Address, s.Callers.MaxBodyBytes, handler))
+
+	treeCtx, stopTree := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopTree()
+	done := root.ServeBackground(treeCtx)
+	<-ctx.Done()
+	drain(ctl, handler, log)
+	stopTree()
+	if err := <-done; err != nil && !errors.Is(err, context.Canceled) {
+		log.Errorf("the tree ended: %v", err)
+	}
+	flushCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), flushTimeout)
+	defer cancel()
+	return stopTracing(flushCtx)
+}
+
+// drain stops new calls and waits for those in flight.
+func drain(ctl *control.Control, handler *callers.Handler, log logs.Logger) {
+	ctl.Send(control.StopRequested{})
+	idle := make(chan struct{})
+	go func() {
+		handler.Wait()
+		close(idle)
+	}()
+	select {
+	case <-idle:
+		log.Infof("all calls have ended")
+	case <-time.After(drainTimeout):
+		log.Warnf("calls are still in flight after %s", drainTimeout)
+	}
+}
