Add the frames for proofs, deliberate defects and benchmarks

Cause: every later change needs the same three things: a place to list what proves it, a way to show that the proof can fail, and a printed measure.

--- a/Makefile
+++ b/Makefile
@@ -34,3 +34,14 @@
 generate:
 	go -C tools build -o $(TOOLS)/ google.golang.org/protobuf/cmd/protoc-gen-go google.golang.org/grpc/cmd/protoc-gen-go-grpc
 	PATH=$(TOOLS):$$PATH protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative internal/peerwire/peers.proto
+
+.PHONY: bench prove mutants
+
+bench: build
+	$(BIN)/bench $(if $(SHORT),--short)
+
+prove: build
+	$(BIN)/prove $(if $(SHORT),--short)
+
+mutants: build
+	$(BIN)/prove --mutants
--- /dev/null
+++ b/cmd/bench/main.go
@@ -0,0 +1,100 @@
+// Command bench runs the project's benchmarks and prints a line a measure:
+// BENCH name value unit bound ok|RED. It exits with 1 if a line is RED and not
+// listed in KNOWN-RED.txt.
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+
+	"github.com/baobabstack/baobabstack/bench/report"
+)
+
+// measures lists all benchmarks in the order in which they run.
+var measures []report.Measure
+
+type options struct {
+	Short  bool   `long:"short" description:"Run in under 50 s altogether"`
+	Seed   uint64 `long:"seed" default:"1" description:"Seed of the seeded measures"`
+	Binary string `long:"binary" default:"bin/baobabstack" description:"Program to run as entries"`
+	Args   struct {
+		Names []string `positional-arg-name:"NAME" description:"Measures to run; all if none"`
+	} `positional-args:"yes"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		os.Exit(2)
+	}
+	if err := run(o); err != nil {
+		fmt.Fprintln(os.Stderr, "bench:", err)
+		os.Exit(1)
+	}
+}
+
+func run(o options) error {
+	known, err := knownRed("KNOWN-RED.txt")
+	if err != nil {
+		return err
+	}
+	var red []string
+	for _, m := range selected(o.Args.Names) {
+		lines, err := m.Run(context.Background(), report.Options{Short: o.Short, Seed: o.Seed, Binary: o.Binary})
+		if err != nil {
+			return errors.Wrap(err, m.Name)
+		}
+		for _, l := range lines {
+			l.Print(os.Stdout)
+			if !l.OK && !known[l.Name] {
+				red = append(red, l.Name)
+			}
+		}
+	}
+	if len(red) > 0 {
+		return errors.Errorf("outside the bound: %s", strings.Join(red, ", "))
+	}
+	return nil
+}
+
+func selected(names []string) []report.Measure {
+	if len(names) == 0 {
+		return measures
+	}
+	var out []report.Measure
+	for _, m := range measures {
+		for _, name := range names {
+			if m.Name == name {
+				out = append(out, m)
+			}
+		}
+	}
+	return out
+}
+
+// knownRed reads the names listed in KNOWN-RED.txt: the first word of each line
+// that starts with "test: ".
+func knownRed(file string) (map[string]bool, error) {
+	known := make(map[string]bool)
+	f, err := os.Open(file)
+	if os.IsNotExist(err) {
+		return known, nil
+	}
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	defer f.Close()
+	scanner := bufio.NewScanner(f)
+	for scanner.Scan() {
+		if name, ok := strings.CutPrefix(scanner.Text(), "test: "); ok {
+			known[strings.TrimSpace(name)] = true
+		}
+	}
+	return known, errors.WithStack(scanner.Err())
+}
