--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -61,3 +61,15 @@
 	defer j.mu.Unlock()
 	return j.total
 }
+
+// defaultSize is the number of entries that the process's journal keeps.
+const defaultSize = 1024
+
+var process = New(defaultSize)
+
+// Default returns the process's journal, which the admin listener shows.
+func Default() *Journal { return process }
+
+// Note adds a decision to the process's journal. Parts note decisions, never
+// single calls.
+func Note(part, decision, subject, reason string) { process.Add(part, decision, subject, reason) }
