Guard requests before nbhttp's parser, and send answers whole

Cause: nbhttp accepts a length beside chunks, a signed length, a space before a colon and HTTP/1.1 without Host, so two recipients can disagree where a request ends; other bad requests close the connection without an answer, and lines that end in a bare LF hold it. It closes a connection with the answer still queued, sends a body in answer to HEAD, and keeps a write timer that closes an idle connection after a slow read. A caller that leaves kept its call running.

Ruled out: wrapping parser.Processor, which sees no raw line; engine.OnData, because the connection behind TLS could not be counted.

Change: the listener accepts connections itself and puts a guard before the parser, as the session that gets the bytes after decryption too. It finds the end of each head and chunk, refuses what it doesn't know with a 4xx or 501 and Baobab-Outcome: not-run, after the answers to what came before, and closes. An answer is written at once and waited for, so a connection holds one unsent answer; the write side is shut down when the last byte is sent. Bodies and unsent answers count against one budget. The engine's close event cancels the context of the connection's calls.

--- /dev/null
+++ b/internal/httpserver/answer.go
@@ -0,0 +1,104 @@
+package httpserver
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"github.com/lesismal/nbio/nbhttp"
+
+	"github.com/baobabstack/baobabstack/internal/call"
+	"github.com/baobabstack/baobabstack/internal/logs"
+	"github.com/baobabstack/baobabstack/internal/policy/outcome"
+)
+
+// answer collects a handler's answer, which is then written at once.
+type answer struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+// Header returns the headers to be sent.
+func (a *answer) Header() http.Header { return a.header }
+
+// WriteHeader sets the status; the first call counts.
+func (a *answer) WriteHeader(status int) {
+	if a.status == 0 {
+		a.status = status
+	}
+}
+
+// Write adds to the body.
+func (a *answer) Write(b []byte) (int, error) {
+	a.WriteHeader(http.StatusOK)
+	return a.body.Write(b)
+}
+
+// bytes returns the answer as sent to a request of the given method.
+func (a *answer) bytes(method string, last bool) []byte {
+	a.WriteHeader(http.StatusOK)
+	if a.header.Get("Date") == "" {
+		a.header.Set("Date", time.Now().UTC().Format(http.TimeFormat))
+	}
+	a.header.Del("Content-Length")
+	res := http.Response{
+		StatusCode: a.status, ProtoMajor: 1, ProtoMinor: 1, Header: a.header, Close: last,
+		Body: io.NopCloser(&a.body), ContentLength: int64(a.body.Len()),
+		Request: &http.Request{Method: method},
+	}
+	var out bytes.Buffer
+	_ = res.Write(&out)
+	return out.Bytes()
+}
+
+// serve runs the handler of a parsed request. It takes the connection from the
+// library, because that would close it with an answer unsent, and would send a
+// body in answer to HEAD.
+func serve(w http.ResponseWriter, r *http.Request) {
+	c := w.(*nbhttp.Response).Parser.Conn.(*conn)
+	_, _, _ = w.(http.Hijacker).Hijack()
+	req, ok := c.next()
+	if !ok {
+		return
+	}
+	defer c.answered()
+	a := &answer{header: make(http.Header)}
+	c.run(a, r)
+	last := req.close || (c.server.draining.Load() && c.only())
+	c.send(a.bytes(r.Method, last), last)
+}
+
+var log = logs.For("httpserver")
+
+// run calls the handler. A panic is answered with the outcome unknown.
+func (c *conn) run(a *answer, r *http.Request) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			log.Errorf("%s %s: panic: %v\n%s", r.Method, r.URL.Path, cause, debug.Stack())
+			*a = *refused(call.Refusal(outcome.Unknown, http.StatusInternalServerError, "internal", 0))
+		}
+	}()
+	c.server.options.Handler.ServeHTTP(a, r.WithContext(c.ctx))
+}
+
+func refused(from call.Answer) *answer {
+	a := &answer{header: from.Header, status: from.Status}
+	a.header.Set(call.HeaderOutcome, from.Outcome.String())
+	a.header.Set(call.HeaderReason, from.Reason)
+	if from.RetryAfter > 0 {
+		a.header.Set("Retry-After", "1")
+	}
+	a.body.Write(from.Body)
+	return a
+}
+
+func refusalBytes(r *refusal) []byte {
+	var retryAfter time.Duration
+	if r.status == http.StatusServiceUnavailable {
+		retryAfter = time.Second
+	}
+	return refused(call.Refusal(outcome.NotRun, r.status, r.reason, retryAfter)).bytes(http.MethodGet, true)
+}
--- /dev/null
+++ b/internal/httpserver/conn.go
@@ -0,0 +1,192 @@
+package httpserver
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lesismal/llib/std/crypto/tls"
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/nbhttp"
+	"golang.org/x/sys/unix"
+
+	"github.com/baobabstack/baobabstack/internal/defect"
+)
+
+// conn is one connection: the net.Conn that the parser's processor sees, and
+// the guard that gets the bytes read (see guard.go).
+type conn struct {
+	net.Conn // TLS or the wire itself
+
+	server *Server
+	wire   *wire
+	nbc    *nbio.Conn
+	tls    *tls.Conn
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu      sync.Mutex
+	guard   guard
+	pending []request // parsed and not answered, oldest first
+	timer   *time.Timer
+}
+
+// request is what the guard knows of a request until it is answered.
+type request struct {
+	body  int
+	close bool
+}
+
+func newConn(s *Server, nbc *nbio.Conn) *conn {
+	c := &conn{server: s, nbc: nbc, wire: &wire{Conn: nbc, drained: make(chan struct{}, 1)}}
+	c.Conn = c.wire
+	if s.options.TLS != nil {
+		c.tls = tls.NewConn(c.wire, s.options.TLS, false, true, s.engine.TLSAllocator)
+		c.Conn = c.tls
+	}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.guard.parser = nbhttp.NewParser(c, s.engine, nbhttp.NewServerProcessor(), false, nbc.Execute)
+	return c
+}
+
+// UnderlayerConn returns the connection as the engine's TLS handler expects it.
+func (c *conn) UnderlayerConn() net.Conn { return &nbhttp.Conn{Conn: c.Conn} }
+
+// CloseAndClean frees what the connection holds.
+func (c *conn) CloseAndClean(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.guard.done = true
+	c.stopTimer()
+	c.guard.parser.CloseAndClean(err)
+	c.server.budget.release(c.guard.body)
+	c.guard.body = 0
+	for _, r := range c.pending {
+		c.server.budget.release(r.body)
+		c.server.busy.Add(-1)
+	}
+	c.pending = nil
+}
+
+// next takes the oldest request that is not answered. It reports false once the
+// connection is to take no more requests.
+func (c *conn) next() (request, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.pending) == 0 || c.wire.last.Load() {
+		return request{}, false
+	}
+	return c.pending[0], true
+}
+
+// answered notes that the oldest request is answered in full.
+func (c *conn) answered() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.pending) == 0 {
+		return
+	}
+	c.server.budget.release(c.pending[0].body)
+	c.server.busy.Add(-1)
+	c.pending = c.pending[1:]
+	if len(c.pending) == 0 && !c.guard.started() && !c.guard.done {
+		_ = c.nbc.SetReadDeadline(time.Now().Add(c.server.options.IdleTimeout))
+	}
+}
+
+// only reports whether no other request waits on the connection.
+func (c *conn) only() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.pending) <= 1 && !c.guard.started()
+}
+
+// send writes a whole answer and waits until the caller has taken it, so that a
+// connection holds one unsent answer at most. The last answer ends the
+// connection, once it is sent.
+func (c *conn) send(data []byte, last bool) {
+	c.server.budget.add(len(data))
+	defer c.server.budget.release(len(data))
+	if last && c.tls == nil {
+		c.wire.last.Store(true)
+	}
+	if _, err := c.Write(data); err != nil {
+		_ = c.nbc.Close()
+		return
+	}
+	if last && c.tls != nil {
+		c.wire.last.Store(true)
+		_ = c.tls.CloseWrite()
+	}
+	if last && defect.On("close-unsent") || !c.waitSent() {
+		_ = c.nbc.Close()
+		return
+	}
+	if last {
+		_ = c.nbc.SetReadDeadline(time.Now().Add(lingerTimeout))
+	}
+}
+
+// waitSent waits until no byte is unsent. It reports false if that takes too
+// long or the connection ends.
+func (c *conn) waitSent() bool {
+	if c.wire.unsent() == 0 {
+		return true
+	}
+	timer := time.NewTimer(c.server.options.WriteTimeout)
+	defer timer.Stop()
+	for c.wire.unsent() > 0 {
+		select {
+		case <-c.wire.drained:
+		case <-timer.C:
+			return false
+		case <-c.ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
+// wire is the TCP connection. It counts what is written, because the engine
+// queues what the socket doesn't take and tells no one when that is sent.
+type wire struct {
+	*nbio.Conn
+	queued  atomic.Int64
+	written atomic.Int64
+	last    atomic.Bool
+	drained chan struct{}
+}
+
+// Write queues bytes for the socket.
+func (w *wire) Write(b []byte) (int, error) {
+	w.queued.Add(int64(len(b)))
+	return w.Conn.Write(b)
+}
+
+// SetWriteDeadline does nothing: conn.send has a timeout of its own, and the
+// engine would close the connection at the deadline even if all is sent.
+func (w *wire) SetWriteDeadline(time.Time) error { return nil }
+
+func (w *wire) unsent() int64 { return w.queued.Load() - w.written.Load() }
+
+// onWritten counts the bytes that a socket took. The engine holds the
+// connection's lock meanwhile, so its file descriptor is still open.
+func onWritten(nbc *nbio.Conn, _ []byte, n int) {
+	c, ok := nbc.Session().(*conn)
+	if !ok {
+		return
+	}
+	w := c.wire
+	if w.written.Add(int64(n)) < w.queued.Load() {
+		return
+	}
+	if w.last.Load() {
+		_ = unix.Shutdown(nbc.Hash(), unix.SHUT_WR)
+	}
+	select {
+	case w.drained <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/httpserver/guard.go
@@ -0,0 +1,197 @@
+package httpserver
+
+import (
+	"time"
+
+	"github.com/lesismal/nbio/nbhttp"
+)
+
+type part int
+
+const (
+	inHead part = iota
+	inLength
+	inChunks
+)
+
+// guard checks a connection's bytes before the parser gets them.
+type guard struct {
+	parser *nbhttp.Parser
+	part   part
+	head   []byte // of a head that is not whole
+	scan   headScanner
+	chunks chunkScanner
+	left   int // bytes of the body with a length
+	body   int // bytes of the body held so far
+	close  bool
+	done   bool // no more bytes are taken
+}
+
+// started reports whether a request has begun and is not whole.
+func (g *guard) started() bool { return g.part != inHead || g.scan.size > 0 }
+
+// Parse takes bytes read from the connection. It implements
+// nbhttp.ParserCloser.
+func (c *conn) Parse(data []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for len(data) > 0 && !c.guard.done {
+		n, r := c.step(data)
+		if r != nil {
+			c.refuse(r)
+			return nil
+		}
+		data = data[n:]
+	}
+	c.watchSender()
+	return nil
+}
+
+// step takes bytes of one part of a request and returns their number.
+func (c *conn) step(data []byte) (int, *refusal) {
+	switch c.guard.part {
+	case inLength:
+		n := min(c.guard.left, len(data))
+		c.guard.left -= n
+		return n, c.passBody(data[:n], c.guard.left == 0)
+	case inChunks:
+		n, whole, r := c.guard.chunks.scan(data, c.server.options.MaxBodyBytes)
+		if r != nil {
+			return 0, r
+		}
+		return n, c.passBody(data[:n], whole)
+	default:
+		return c.takeHead(data)
+	}
+}
+
+func (c *conn) takeHead(data []byte) (int, *refusal) {
+	g := &c.guard
+	n, whole, r := g.scan.scan(data)
+	if r != nil {
+		return 0, r
+	}
+	if !whole {
+		g.head = append(g.head, data...)
+		return n, nil
+	}
+	head := data[:n]
+	if len(g.head) > 0 {
+		head = append(g.head, head...)
+		g.head = nil
+	}
+	f, r := checkHead(head, c.server.options.MaxBodyBytes, maxHeaders)
+	if r != nil {
+		return 0, r
+	}
+	g.close = f.close
+	if f.chunked || f.length > 0 {
+		c.beginBody(f, len(data) > n)
+		return n, c.pass(head)
+	}
+	if r := c.complete(); r != nil {
+		return 0, r
+	}
+	return n, c.pass(head)
+}
+
+func (c *conn) beginBody(f framing, more bool) {
+	c.guard.part, c.guard.left = inLength, f.length
+	if f.chunked {
+		c.guard.part = inChunks
+	}
+	if f.expectContinue && !more {
+		c.nbc.Execute(c.sayContinue)
+	}
+}
+
+var continueLine = []byte("HTTP/1.1 100 Continue\r\n\r\n")
+
+func (c *conn) sayContinue() {
+	if !c.wire.last.Load() {
+		_, _ = c.Write(continueLine)
+	}
+}
+
+func (c *conn) passBody(data []byte, whole bool) *refusal {
+	if !c.server.budget.take(len(data)) {
+		return refuseMemory
+	}
+	c.guard.body += len(data)
+	if whole {
+		if r := c.complete(); r != nil {
+			return r
+		}
+	}
+	return c.pass(data)
+}
+
+// pass gives checked bytes to the parser.
+func (c *conn) pass(data []byte) *refusal {
+	if c.guard.parser.Parse(data) != nil {
+		return refuseMalformed
+	}
+	return nil
+}
+
+// complete notes that the request ends with the bytes to be passed next.
+func (c *conn) complete() *refusal {
+	if len(c.pending) >= maxPipelined {
+		return refusePipeline
+	}
+	g := &c.guard
+	c.push(request{body: g.body, close: g.close})
+	g.part, g.body, g.done = inHead, 0, g.close
+	return nil
+}
+
+func (c *conn) push(r request) {
+	c.pending = append(c.pending, r)
+	c.server.busy.Add(1)
+	_ = c.nbc.SetReadDeadline(time.Now().Add(answerTimeout))
+}
+
+// refuse answers a request that is not accepted, after the answers to those
+// before it, and ends the connection.
+func (c *conn) refuse(r *refusal) {
+	c.guard.done = true
+	c.stopTimer()
+	c.server.budget.release(c.guard.body)
+	c.guard.body = 0
+	c.server.counters.refused(r.reason)
+	c.push(request{close: true})
+	c.nbc.Execute(func() {
+		if _, ok := c.next(); ok {
+			c.send(refusalBytes(r), true)
+			c.answered()
+		}
+	})
+}
+
+// watchSender bounds the time that a request takes to arrive.
+func (c *conn) watchSender() {
+	if !c.guard.started() || c.guard.done {
+		c.stopTimer()
+		return
+	}
+	if c.timer != nil {
+		return
+	}
+	_ = c.nbc.SetReadDeadline(time.Now().Add(answerTimeout))
+	var timer *time.Timer
+	timer = time.AfterFunc(c.server.options.RequestTimeout, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.timer == timer && !c.guard.done {
+			c.refuse(refuseSlow)
+		}
+	})
+	c.timer = timer
+}
+
+func (c *conn) stopTimer() {
+	if c.timer != nil {
+		c.timer.Stop()
+		c.timer = nil
+	}
+}
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -1,61 +1,207 @@
-// Package httpserver runs HTTP listeners on nbhttp.
+// Package httpserver runs HTTP listeners on nbhttp. A guard in front of the
+// library's parser refuses requests that two recipients could read in two ways,
+// and bounds what a connection may hold.
 package httpserver
 
 import (
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
 
+	"github.com/lesismal/llib/std/crypto/tls"
+	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
+
+	"github.com/baobabstack/baobabstack/internal/defect"
 )
 
 func init() { logging.SetLevel(logging.LevelNone) }
 
 // Options configures a listener.
 type Options struct {
-	// Name names the engine.
+	// Name names the listener in metrics.
 	Name string
 	// Address is the IP address and port.
 	Address string
-	// MaxBodyBytes bounds a request's body.
+	// MaxBodyBytes bounds a request's body, and an answer's beside its head.
 	MaxBodyBytes int
-	// Handler answers requests, each in a goroutine of its own.
+	// MemoryBytes bounds the bodies held for all connections; 0 sets no bound.
+	MemoryBytes int
+	// RequestTimeout bounds the time from a request's first byte to its last.
+	RequestTimeout time.Duration
+	// WriteTimeout bounds the time that a caller takes to read an answer.
+	WriteTimeout time.Duration
+	// IdleTimeout bounds the time between two requests on a connection.
+	IdleTimeout time.Duration
+	// TLS enables TLS.
+	TLS *tls.Config
+	// Handler answers requests, each in a goroutine of its own. The context of
+	// a request ends when its connection does.
 	Handler http.Handler
 }
 
-// headBytes bounds the bytes that the parser holds beside a body.
-const headBytes = 64 << 10
+const (
+	defaultRequestTimeout = 10 * time.Second
+	defaultWriteTimeout   = 30 * time.Second
+	defaultIdleTimeout    = 2 * time.Minute
+	// answerTimeout bounds the time that a handler takes.
+	answerTimeout = time.Hour
+	// lingerTimeout is how long a connection that is closing discards what its
+	// caller still sends. Closing with unread bytes would reset the connection
+	// and could take the answer away from the caller.
+	lingerTimeout = 2 * time.Second
+	acceptPause   = 50 * time.Millisecond
+
+	maxHeadBytes   = 32 << 10
+	maxHeaders     = 100
+	maxPipelined   = 32
+	maxConnections = 32 << 10
+	// frameBytes bounds what TLS and the head add to an answer's body.
+	frameBytes = 256 << 10
+)
 
 // Server is a running listener.
 type Server struct {
+	options  Options
 	engine   *nbhttp.Engine
 	listener net.Listener
+	budget   budget
+	counters counters
+	draining atomic.Bool
+	open     atomic.Int64
+	busy     atomic.Int64
+	accepted sync.WaitGroup
 }
 
 // Start listens and serves until Stop.
 func Start(o Options) (*Server, error) {
-	s := &Server{}
+	s := &Server{options: withDefaults(o), counters: newCounters(o.Name)}
+	s.budget.limit = int64(o.MemoryBytes)
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
-		Name: o.Name, Network: "tcp", Addrs: []string{o.Address}, Handler: o.Handler,
-		MaxHTTPBodySize: o.MaxBodyBytes, ReadLimit: o.MaxBodyBytes + headBytes,
-		ServerExecutor: func(f func()) { go f() },
-		Listen:         s.listen,
+		Name: o.Name, Handler: http.HandlerFunc(serve),
+		MaxHTTPBodySize: o.MaxBodyBytes, ReadLimit: o.MaxBodyBytes + maxHeadBytes,
+		MaxWriteBufferSize: o.MaxBodyBytes + frameBytes,
+		ServerExecutor:     func(f func()) { go f() },
 	})
+	s.engine.OnWrittenSize(onWritten)
+	s.engine.Engine.OnClose(s.onClose)
 	if err := s.engine.Start(); err != nil {
+		return nil, errors.Wrapf(err, "%s: start the engine", o.Name)
+	}
+	listener, err := net.Listen("tcp", o.Address)
+	if err != nil {
+		s.engine.Stop()
 		return nil, errors.Wrapf(err, "%s: listen on %s", o.Name, o.Address)
 	}
+	s.listener = listener
+	s.accepted.Add(1)
+	go s.accept()
 	return s, nil
 }
 
-func (s *Server) listen(network, address string) (net.Listener, error) {
-	listener, err := net.Listen(network, address)
-	s.listener = listener
-	return listener, err
+func withDefaults(o Options) Options {
+	if o.RequestTimeout == 0 {
+		o.RequestTimeout = defaultRequestTimeout
+	}
+	if o.WriteTimeout == 0 {
+		o.WriteTimeout = defaultWriteTimeout
+	}
+	if o.IdleTimeout == 0 {
+		o.IdleTimeout = defaultIdleTimeout
+	}
+	return o
 }
 
 // Address returns the address listened on.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
+// Drain makes each answer from now on the last one of its connection.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// Busy returns the number of requests that are not answered in full.
+func (s *Server) Busy() int { return int(s.busy.Load()) }
+
 // Stop closes the listener and all connections.
-func (s *Server) Stop() { s.engine.Stop() }
+func (s *Server) Stop() {
+	s.listener.Close()
+	s.accepted.Wait()
+	s.engine.Stop()
+}
+
+func (s *Server) accept() {
+	defer s.accepted.Done()
+	for {
+		raw, err := s.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(acceptPause)
+			continue
+		}
+		if s.open.Load() >= maxConnections {
+			s.counters.refused("connections-full")
+			_ = raw.Close()
+			continue
+		}
+		s.add(raw)
+	}
+}
+
+// add hands a connection to the engine, with a guard in front of its parser.
+func (s *Server) add(raw net.Conn) {
+	nbc, err := nbio.NBConn(raw)
+	if err != nil {
+		_ = raw.Close()
+		return
+	}
+	c := newConn(s, nbc)
+	nbc.SetSession(c)
+	nbc.OnData(s.onData)
+	s.open.Add(1)
+	s.counters.connections.Inc()
+	if _, err := s.engine.AddConn(nbc); err != nil {
+		s.closed(c)
+		return
+	}
+	_ = nbc.SetReadDeadline(time.Now().Add(s.options.IdleTimeout))
+}
+
+// onData passes on the bytes read from a connection. The engine hands a
+// connection from the accepting goroutine to a poller through the kernel; the
+// counter of open connections orders the two for Go's memory model.
+func (s *Server) onData(nbc *nbio.Conn, data []byte) {
+	s.open.Load()
+	if s.options.TLS == nil {
+		s.engine.DataHandler(nbc, data)
+		return
+	}
+	s.engine.TLSDataHandler(nbc, data)
+}
+
+// onClose ends the calls of a connection at once, and cleans up after the
+// running one.
+func (s *Server) onClose(nbc *nbio.Conn, err error) {
+	s.open.Load()
+	c, ok := nbc.Session().(*conn)
+	if !ok {
+		return
+	}
+	if !defect.On("keep-abandoned-calls") {
+		c.cancel()
+	}
+	nbc.MustExecute(func() {
+		c.CloseAndClean(err)
+		s.closed(c)
+	})
+}
+
+func (s *Server) closed(c *conn) {
+	c.cancel()
+	s.open.Add(-1)
+	s.counters.connections.Dec()
+}
--- a/internal/supervisor/callers/handler.go
+++ b/internal/supervisor/callers/handler.go
@@ -49,7 +49,7 @@
 	h.inFlight.Add(1)
 	defer h.inFlight.Done()
 	service, operation := splitPath(r.URL.Path)
-	ctx, span, traceID := tracing.StartCall(context.Background(), r.Header, service, operation)
+	ctx, span, traceID := tracing.StartCall(r.Context(), r.Header, service, operation)
 	answer := h.answer(ctx, r, service, operation)
 	h.write(w, span, traceID, answer)
 }
