Divide an allowance among entries by token buckets with transfers

Each entry uses 1/entries of the rate and burst; tokens move to demand by transfers that the lender holds back until the grant can no longer be in flight.

A property test found three faults while this was written: a plan that was lowered between grant and arrival let the grant in, a bucket that no call touched missed a plan that was lowered and raised again, and holds counted as over from the start of the interval in which they end.

--- /dev/null
+++ b/internal/policy/share/bucket_test.go
@@ -0,0 +1,183 @@
+package share
+
+import (
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// fleet drives buckets with arbitrary times and plans against the reference
+// meter of the whole allowance.
+type fleet struct {
+	now     time.Duration
+	plan    Plan
+	buckets []Bucket
+	flying  []message
+	meter   meter
+	// lowered is when the burst was last made smaller.
+	lowered time.Duration
+	asks    uint64
+}
+
+func drawPlan(t *rapid.T, label string) Plan {
+	return Plan{
+		Rate:  rapid.Float64Range(0.1, 50).Draw(t, label+" rate"),
+		Burst: rapid.Float64Range(1, 20).Draw(t, label+" burst"),
+	}
+}
+
+func (f *fleet) pick(t *rapid.T) int { return rapid.IntRange(0, len(f.buckets)-1).Draw(t, "entry") }
+
+func (f *fleet) advance(t *rapid.T) {
+	d := time.Duration(rapid.Int64Range(0, int64(900*time.Millisecond)).Draw(t, "pause"))
+	f.now += d
+	f.meter.advance(d)
+}
+
+func (f *fleet) take(t *rapid.T) {
+	if f.buckets[f.pick(t)].Take(f.now, f.plan) {
+		f.meter.tokens--
+	}
+}
+
+func (f *fleet) ask(t *rapid.T) {
+	f.asks++
+	m := message{from: f.pick(t), to: f.pick(t), sent: f.now}
+	m.ask = Ask{Borrower: uint64(m.from), Number: f.asks}
+	if m.from == m.to {
+		t.Skip("an entry does not ask itself")
+	}
+	if slices.ContainsFunc(f.flying, func(o message) bool { return o.from == m.from && o.to == m.to && !o.ended }) {
+		t.Skip("one request at a time")
+	}
+	f.flying = append(f.flying, m)
+}
+
+func (f *fleet) grant(t *rapid.T) {
+	if len(f.flying) == 0 {
+		t.Skip("nothing in flight")
+	}
+	m := &f.flying[rapid.IntRange(0, len(f.flying)-1).Draw(t, "message")]
+	granted := f.buckets[m.to].Lend(f.now, m.ask, rapid.Float64Range(0, 20).Draw(t, "want"), f.plan)
+	if !m.replied && !m.ended {
+		m.granted, m.replied = granted, true
+	}
+}
+
+func (f *fleet) deliver(t *rapid.T) {
+	if len(f.flying) == 0 {
+		t.Skip("nothing in flight")
+	}
+	i := rapid.IntRange(0, len(f.flying)-1).Draw(t, "message")
+	m := &f.flying[i]
+	if m.replied && !m.ended {
+		f.buckets[m.from].Receive(f.now, m.sent, m.granted, f.plan)
+	}
+	m.ended = true
+}
+
+func (f *fleet) lose(t *rapid.T) {
+	if len(f.flying) == 0 {
+		t.Skip("nothing in flight")
+	}
+	i := rapid.IntRange(0, len(f.flying)-1).Draw(t, "message")
+	f.flying = slices.Delete(f.flying, i, i+1)
+}
+
+func (f *fleet) restart(t *rapid.T) {
+	i := f.pick(t)
+	f.buckets[i] = NewBucket(f.plan, f.now, f.now)
+	// A reply reaches only the process that sent the request.
+	for j := range f.flying {
+		f.flying[j].ended = f.flying[j].ended || f.flying[j].from == i
+	}
+}
+
+func (f *fleet) reload(t *rapid.T) {
+	before := f.plan
+	f.plan = drawPlan(t, "next")
+	if f.plan.Burst < before.Burst {
+		f.lowered = f.now
+	}
+	for i := range f.buckets {
+		f.buckets[i].Reload(f.now, f.plan)
+	}
+	n := float64(len(f.buckets))
+	f.meter.rate, f.meter.burst = f.plan.Rate*n, f.plan.Burst*n
+	f.meter.tokens = min(f.meter.tokens, f.meter.burst)
+}
+
+func (f *fleet) check(t *rapid.T) {
+	sum := 0.0
+	for i := range f.buckets {
+		// A copy, so that the check leaves the time up to which the bucket
+		// counted as it is.
+		b := f.buckets[i]
+		b.Reload(f.now, f.plan)
+		assert.Assert(t, b.tokens >= 0)
+		sum += b.tokens
+	}
+	for _, m := range f.flying {
+		if m.replied && !m.ended && f.now-m.sent < TransferTimeout && (f.lowered == 0 || m.sent > f.lowered) {
+			sum += m.granted
+		}
+	}
+	assert.Assert(t, f.meter.tokens >= -1e-6, "taken beyond the allowance by %g", -f.meter.tokens)
+	assert.Assert(t, sum <= f.meter.tokens+1e-6, "usable %g, allowed %g", sum, f.meter.tokens)
+}
+
+func TestTakesStayWithinTheAllowance(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &fleet{now: time.Hour, plan: drawPlan(t, "first")}
+		n := rapid.IntRange(2, 5).Draw(t, "entries")
+		f.meter = meter{rate: f.plan.Rate * float64(n), burst: f.plan.Burst * float64(n)}
+		f.meter.tokens = f.meter.burst
+		for range n {
+			f.buckets = append(f.buckets, NewBucket(f.plan, 0, f.now))
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"advance": f.advance, "take": f.take, "ask": f.ask, "grant": f.grant,
+			"deliver": f.deliver, "lose": f.lose, "restart": f.restart, "reload": f.reload, "": f.check,
+		})
+	})
+}
+
+func TestRestartedEntryStartsEmptyAndWaits(t *testing.T) {
+	p := Plan{Rate: 10, Burst: 5}
+	b := NewBucket(p, time.Second, time.Second)
+	assert.Assert(t, !b.Take(time.Second+Hold, p))
+	assert.Equal(t, b.Wait(time.Second+Hold), 100*time.Millisecond)
+	assert.Assert(t, b.Take(time.Second+Hold+100*time.Millisecond, p))
+}
+
+func TestReloadNeitherRefillsNorForgets(t *testing.T) {
+	p := Plan{Rate: 1, Burst: 5}
+	b := NewBucket(p, 0, time.Minute)
+	for range 5 {
+		assert.Assert(t, b.Take(time.Minute, p))
+	}
+	assert.Assert(t, !b.Take(time.Minute, Plan{Rate: 100, Burst: 50}))
+	lowered := NewBucket(p, 0, time.Minute)
+	lowered.Reload(time.Minute, Plan{Rate: 1, Burst: 2})
+	assert.Equal(t, lowered.Tokens(time.Minute), 2.0)
+}
+
+func TestTransferMovesTokensToDemand(t *testing.T) {
+	p := Plan{Rate: 10, Burst: 10}
+	now := time.Minute
+	busy, quiet := NewBucket(p, 0, now), NewBucket(p, 0, now)
+	for busy.Take(now, p) {
+	}
+	want := busy.Want(now)
+	assert.Assert(t, want > 0)
+	granted := quiet.Lend(now, Ask{Borrower: 1, Number: 1}, want, p)
+	assert.Assert(t, granted > 0 && granted <= want)
+	assert.Assert(t, busy.Receive(now+time.Millisecond, now, granted, p))
+	assert.Assert(t, busy.Take(now+time.Millisecond, p))
+	assert.Equal(t, quiet.Want(now), 0.0)
+	assert.Assert(t, math.Abs(quiet.Tokens(now)-(10-granted)) < 1e-9)
+}
