Measure what control costs an entry, with real processes

Cause: docs/CAPACITY.md needs slopes that were measured, not guessed.

Asking bench for an unknown measure is an error now.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 # Commands of the project; see README.md.
 ONCE ?=
 SHORT ?=
+MEASURES ?=
 BIN := bin
 TOOLS := $(CURDIR)/$(BIN)/tools
 GOLANGCI_VERSION := v2.15.0
@@ -38,7 +39,7 @@
 .PHONY: bench prove mutants
 
 bench: build
-	$(BIN)/bench $(if $(SHORT),--short)
+	$(BIN)/bench $(if $(SHORT),--short) $(MEASURES)
 
 prove: build
 	$(BIN)/prove $(if $(SHORT),--short)
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -7,17 +7,21 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
 
+	"github.com/baobabstack/baobabstack/bench/capacity"
 	"github.com/baobabstack/baobabstack/bench/report"
 	"github.com/baobabstack/baobabstack/internal/knownred"
 )
 
 // measures lists all benchmarks in the order in which they run.
-var measures []report.Measure
+var measures = []report.Measure{
+	capacity.Measure(),
+}
 
 type options struct {
 	Short  bool   `long:"short" description:"Run in under 50 s altogether"`
@@ -44,8 +48,12 @@
 	if err != nil {
 		return err
 	}
+	chosen, err := selected(o.Args.Names)
+	if err != nil {
+		return err
+	}
 	var red []string
-	for _, m := range selected(o.Args.Names) {
+	for _, m := range chosen {
 		lines, err := m.Run(context.Background(), report.Options{Short: o.Short, Seed: o.Seed, Binary: o.Binary})
 		if err != nil {
 			return errors.Wrap(err, m.Name)
@@ -63,17 +71,19 @@
 	return nil
 }
 
-func selected(names []string) []report.Measure {
+// selected returns the measures with these names, or all if none is given. An
+// unknown name is an error.
+func selected(names []string) ([]report.Measure, error) {
 	if len(names) == 0 {
-		return measures
+		return measures, nil
 	}
 	var out []report.Measure
-	for _, m := range measures {
-		for _, name := range names {
-			if m.Name == name {
-				out = append(out, m)
-			}
+	for _, name := range names {
+		i := slices.IndexFunc(measures, func(m report.Measure) bool { return m.Name == name })
+		if i < 0 {
+			return nil, errors.Errorf("no measure is named %s", name)
 		}
+		out = append(out, measures[i])
 	}
-	return out
+	return out, nil
 }
