Split the peers package by job

The package held listener, exchange, pull and connections in one file. Each now has its own; Links owns the connections and closes those to VMs that left the list, which stayed open for ever before. Callers of the links get a PeersClient for an address.

--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -57,7 +57,7 @@
 	for _, name := range lists.Names() {
 		root.Add(configuration.NewWatcher(name, s.Configuration.URL, holder, ctl))
 	}
-	root.Add(peers.NewService(s.Peers.Address, holder, ctl))
+	root.Add(peers.NewService(s.Peers.Address, holder, ctl, peers.NewLinks()))
 	root.Add(admin.NewService(s.Admin.Address, holder))
 	root.Add(callers.NewService(s.Callers.Address, s.Callers.MaxBodyBytes, handler))
 
