--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 # Commands of the project; see README.md.
 ONCE ?=
 SHORT ?=
+MEASURES ?=
 BIN := bin
 TOOLS := $(CURDIR)/$(BIN)/tools
 GOLANGCI_VERSION := v2.15.0
@@ -38,10 +39,27 @@
 .PHONY: bench prove mutants
 
 bench: build
-	$(BIN)/bench $(if $(SHORT),--short)
+	$(BIN)/bench $(if $(SHORT),--short) $(MEASURES)
 
 prove: build
 	$(BIN)/prove $(if $(SHORT),--short)
 
 mutants: build
 	$(BIN)/prove --mutants
+
+.PHONY: proofs-page
+
+proofs-page: build
+	$(BIN)/prove --page docs/PROOFS.md
+
+.PHONY: fuzz
+
+FUZZTIME ?= 3s
+
+# Runs every fuzz target for FUZZTIME, one after the other.
+fuzz:
+	@for pkg in $$(go list ./...); do \
+		for target in $$(go test -list '^Fuzz' $$pkg 2>/dev/null | grep '^Fuzz'); do \
+			go test -run '^$$' -fuzz "^$$target\$$" -fuzztime $(FUZZTIME) $$pkg || exit 1; \
+		done; \
+	done
