Hold customers to their allowances and services to their servers

Rate and concurrency are checked against this entry's share (429, rate or concurrency); what passes enters its service's queue, fair among customers of a priority and bounded in time and length (503, overloaded or queue-timeout). All refusals say not-run, with Retry-After in seconds and Baobab-Retry-After-Ms. Shares follow demand by Borrow between entries.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -16,6 +16,9 @@
 	HeaderOutcome = "Baobab-Outcome"
 	// HeaderReason says in a word why the system itself answered.
 	HeaderReason = "Baobab-Reason"
+	// HeaderRetryAfterMs says when to call again, in milliseconds. Retry-After
+	// says the same in whole seconds.
+	HeaderRetryAfterMs = "Baobab-Retry-After-Ms"
 	// HeaderServer names the server that answered.
 	HeaderServer = "Baobab-Server"
 	// HeaderTrace carries the trace id of the call.
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -2,14 +2,83 @@
 
 import (
 	"context"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/baobabstack/baobabstack/internal/call"
+	"github.com/baobabstack/baobabstack/internal/clock"
+	"github.com/baobabstack/baobabstack/internal/policy/outcome"
+	"github.com/baobabstack/baobabstack/internal/supervisor/shares"
+	"github.com/baobabstack/baobabstack/internal/view"
 )
 
-// Unlimited is the Admission that admits every call.
-type Unlimited struct{}
+// Limits is the Admission that holds customers to their allowances and services
+// to what their servers can run. It is safe for concurrent use.
+type Limits struct {
+	holder *view.Holder
+	clock  clock.Clock
+	book   *shares.Book
+	queues queues
+}
+
+// NewLimits returns an admission that reads the lists from the holder and this
+// entry's shares from the book.
+func NewLimits(holder *view.Holder, clk clock.Clock, book *shares.Book) *Limits {
+	return &Limits{holder: holder, clock: clk, book: book, queues: queues{clock: clk}}
+}
+
+// Admit takes the call's share of its allowance and a place at the service's
+// servers, for which it may wait. A refusal is always not-run.
+func (l *Limits) Admit(ctx context.Context, req *call.Request) (func(), *call.Answer) {
+	snapshot := l.holder.Load()
+	if snapshot.Allowances == nil {
+		return nil, refuse(http.StatusServiceUnavailable, "not-ready", retryAfter)
+	}
+	allowance, ok := snapshot.Allowances.Plans[req.Customer.Plan][req.Service]
+	if !ok {
+		return nil, refuse(http.StatusForbidden, "service-not-in-plan", 0)
+	}
+	key := shares.Key{Customer: req.Customer.Name, Service: req.Service}
+	pass, refusal := l.book.Admit(key, shares.LimitOf(allowance, snapshot.Allowances.Entries))
+	if refusal.Reason != "" {
+		return nil, refuse(statusOf(refusal.Reason), string(refusal.Reason), refusal.RetryAfter)
+	}
+	leave, answer := l.queues.enter(ctx, req, allowance.Priority, placesFor(snapshot, req.Service))
+	if answer != nil {
+		pass.Refund()
+		return nil, answer
+	}
+	return func() {
+		leave()
+		pass.Release()
+	}, nil
+}
+
+func statusOf(r shares.Reason) int {
+	if r == shares.Memory {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusTooManyRequests
+}
+
+// overcommit is how many times the slots of a service all entries together may
+// have in flight, so that an entry with more than its part of the calls can
+// still use slots that the others leave free.
+const overcommit = 4
+
+// placesFor returns the calls of a service that this entry may have in flight.
+func placesFor(snapshot *view.Snapshot, service string) int {
+	slots := snapshot.Allowances.Services[service].Slots
+	entries := len(snapshot.Peers) + 1
+	places := (overcommit*slots*len(snapshot.Services[service]) + entries - 1) / entries
+	return max(places, slots)
+}
 
-// Admit admits the call.
-func (Unlimited) Admit(context.Context, *call.Request) (func(), *call.Answer) {
-	return func() {}, nil
+// refuse returns a refusal that says not-run, and counts it.
+func refuse(status int, reason string, retryAfter time.Duration) *call.Answer {
+	metrics.GetOrCreateCounter(`baobab_refused_total{reason="` + reason + `"}`).Inc()
+	a := call.Refusal(outcome.NotRun, status, reason, retryAfter)
+	return &a
 }
--- /dev/null
+++ b/internal/policy/admit/queue.go
@@ -0,0 +1,305 @@
+// Package admit bounds the calls of a service that an entry has at the servers
+// and orders those that wait. Its decisions are pure: time is an argument.
+//
+// Customers of the same priority share by start-time fair queueing (Goyal, Vin
+// and Cheng, "Start-time Fair Queueing", IEEE/ACM Transactions on Networking
+// 5(5), 1997), with a weight of one each and a cost of one a call. A lower
+// priority number goes first, but every eighth call is the one that has waited
+// longest among the heads of all priorities. A full queue drops the newest call
+// of the customer with the most waiting calls.
+package admit
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+	"time"
+
+	"github.com/baobabstack/baobabstack/internal/defect"
+)
+
+const (
+	// oldestEvery is how often the oldest head goes first, whatever its
+	// priority: the n-th call of each n.
+	oldestEvery = 8
+	// waitShare divides the time that a call has left: it waits at most one part
+	// and leaves the others for the work.
+	waitShare = 2
+	// waitingPerPlace and minWaiting bound the calls that wait.
+	waitingPerPlace = 8
+	minWaiting      = 64
+	// runWeight is the weight of a sample in the mean time of a call.
+	runWeight = 0.05
+)
+
+// Verdict is what a queue says of a call.
+type Verdict int
+
+// Verdicts.
+const (
+	// Run means that the call runs now; Done must follow.
+	Run Verdict = iota
+	// Wait means that the call's ticket will be decided.
+	Wait
+	// Refuse means that the call can't start in time.
+	Refuse
+)
+
+// Queue holds one service's calls at one entry. It is not safe for concurrent
+// use.
+type Queue struct {
+	limit   int
+	running int
+	waiting int
+	served  uint64
+	meanRun time.Duration
+	classes []*class // by rising priority number
+	flows   map[string]int
+}
+
+// NewQueue returns a queue that lets so many calls run at a time.
+func NewQueue(limit int) *Queue {
+	return &Queue{limit: max(limit, 1), flows: make(map[string]int)}
+}
+
+// Ticket is a call that arrived at a queue.
+type Ticket struct {
+	customer string
+	class    *class
+	start    float64 // virtual start time
+	arrived  time.Duration
+	latest   time.Duration // the call must start by then
+	index    int           // place in the class's heap; -1 if it does not wait
+	decided  chan bool
+}
+
+// Latest returns the time by which the call must have started.
+func (t *Ticket) Latest() time.Duration { return t.latest }
+
+// Decided delivers true once a waiting call may run, false if it is refused.
+func (t *Ticket) Decided() <-chan bool { return t.decided }
+
+// Arrive takes in a call of a customer with its priority and deadline. With
+// Refuse there is no ticket, and wait is the time after which a call like it
+// would start.
+func (q *Queue) Arrive(now time.Duration, customer string, priority int, deadline time.Duration) (t *Ticket, v Verdict, wait time.Duration) {
+	c := q.class(priority)
+	t = &Ticket{customer: customer, class: c, arrived: now, latest: now + (deadline-now)/waitShare, index: -1}
+	if q.running < q.limit && q.waiting == 0 {
+		c.stamp(t)
+		c.virtual = max(c.virtual, t.start)
+		q.running++
+		return t, Run, 0
+	}
+	wait = q.estimate(c, customer)
+	if now+wait > t.latest {
+		return nil, Refuse, wait
+	}
+	if q.waiting >= max(waitingPerPlace*q.limit, minWaiting) && !q.dropLongest(customer) {
+		return nil, Refuse, wait
+	}
+	c.stamp(t)
+	t.decided = make(chan bool, 1)
+	q.flows[customer]++
+	q.waiting++
+	heap.Push(c, t)
+	return t, Wait, wait
+}
+
+// Done ends a call that ran for the given time and starts the next ones.
+func (q *Queue) Done(now, ran time.Duration) {
+	q.running--
+	if q.meanRun == 0 {
+		q.meanRun = ran
+	}
+	q.meanRun += time.Duration(runWeight * float64(ran-q.meanRun))
+	q.startWaiting(now)
+}
+
+// SetLimit changes the calls that may run at a time and starts those that now
+// may.
+func (q *Queue) SetLimit(now time.Duration, limit int) {
+	q.limit = max(limit, 1)
+	q.startWaiting(now)
+}
+
+// Cancel takes a waiting call out and reports whether it still waited.
+func (q *Queue) Cancel(t *Ticket) bool {
+	if t.index < 0 {
+		return false
+	}
+	q.remove(t)
+	return true
+}
+
+// Idle reports whether no call runs or waits.
+func (q *Queue) Idle() bool { return q.running == 0 && q.waiting == 0 }
+
+// Limit returns the calls that may run at a time.
+func (q *Queue) Limit() int { return q.limit }
+
+// Waiting returns the number of calls that wait.
+func (q *Queue) Waiting() int { return q.waiting }
+
+// startWaiting lets calls run while there is room. Those whose time to start
+// has passed are refused.
+func (q *Queue) startWaiting(now time.Duration) {
+	for q.running < q.limit && q.waiting > 0 {
+		t := q.next()
+		q.remove(t)
+		if now > t.latest {
+			t.decided <- false
+			continue
+		}
+		t.class.virtual = max(t.class.virtual, t.start)
+		q.running++
+		t.decided <- true
+	}
+}
+
+// next returns the waiting call that goes first.
+func (q *Queue) next() *Ticket {
+	q.served++
+	var first, oldest *Ticket
+	for _, c := range q.classes {
+		if len(c.tickets) == 0 {
+			continue
+		}
+		head := c.tickets[0]
+		if first == nil {
+			first = head
+		}
+		if oldest == nil || head.arrived < oldest.arrived {
+			oldest = head
+		}
+	}
+	if q.served%oldestEvery == 0 {
+		return oldest
+	}
+	return first
+}
+
+func (q *Queue) remove(t *Ticket) {
+	heap.Remove(t.class, t.index)
+	q.waiting--
+	if q.flows[t.customer]--; q.flows[t.customer] == 0 {
+		delete(q.flows, t.customer)
+	}
+}
+
+// estimate returns how long a new call of the customer would wait: each customer
+// that waits goes about once before each of its calls.
+func (q *Queue) estimate(c *class, customer string) time.Duration {
+	ahead := 0
+	for _, other := range q.classes {
+		if other.priority < c.priority {
+			ahead += len(other.tickets)
+		}
+	}
+	rounds := q.flows[customer] + 1
+	for flow, n := range q.flows {
+		if flow != customer {
+			ahead += min(n, rounds)
+		}
+	}
+	ahead = min(ahead+rounds-1, q.waiting)
+	return q.meanRun * time.Duration(ahead+1) / time.Duration(q.limit)
+}
+
+// dropLongest refuses the newest call of the customer with the most waiting
+// calls. It reports false if that is the given customer.
+func (q *Queue) dropLongest(customer string) bool {
+	longest := customer
+	for flow, n := range q.flows {
+		if n > q.flows[longest] || n == q.flows[longest] && longest != customer && flow < longest {
+			longest = flow
+		}
+	}
+	if longest == customer {
+		return false
+	}
+	var newest *Ticket
+	for _, c := range q.classes {
+		for _, t := range c.tickets {
+			if t.customer == longest && (newest == nil || t.start >= newest.start) {
+				newest = t
+			}
+		}
+	}
+	q.remove(newest)
+	newest.decided <- false
+	return true
+}
+
+func (q *Queue) class(priority int) *class {
+	i, found := slices.BinarySearchFunc(q.classes, priority, func(c *class, p int) int { return cmp.Compare(c.priority, p) })
+	if !found {
+		q.classes = slices.Insert(q.classes, i, &class{priority: priority, finish: make(map[string]float64)})
+	}
+	return q.classes[i]
+}
+
+// class holds the calls of one priority by virtual start time.
+type class struct {
+	priority int
+	virtual  float64            // start time of the latest call that went
+	finish   map[string]float64 // virtual finish time of a customer's latest call
+	tickets  []*Ticket          // a heap
+	sequence float64
+}
+
+// maxFinish bounds the customers whose finish times a class remembers before it
+// forgets those that no longer matter.
+const maxFinish = 256
+
+// stamp sets a call's virtual start time.
+func (c *class) stamp(t *Ticket) {
+	if len(c.finish) >= maxFinish {
+		for customer, f := range c.finish {
+			if f <= c.virtual {
+				delete(c.finish, customer)
+			}
+		}
+	}
+	t.start = max(c.virtual, c.finish[t.customer])
+	if defect.On("no-fair-queue") {
+		c.sequence++
+		t.start = c.sequence
+	}
+	c.finish[t.customer] = t.start + 1
+}
+
+// Len, Less, Swap, Push and Pop implement heap.Interface.
+func (c *class) Len() int { return len(c.tickets) }
+
+// Less orders by virtual start time, then by arrival.
+func (c *class) Less(i, j int) bool {
+	a, b := c.tickets[i], c.tickets[j]
+	if a.start != b.start {
+		return a.start < b.start
+	}
+	return a.arrived < b.arrived
+}
+
+// Swap swaps two calls.
+func (c *class) Swap(i, j int) {
+	c.tickets[i], c.tickets[j] = c.tickets[j], c.tickets[i]
+	c.tickets[i].index, c.tickets[j].index = i, j
+}
+
+// Push adds a call.
+func (c *class) Push(x any) {
+	t := x.(*Ticket)
+	t.index = len(c.tickets)
+	c.tickets = append(c.tickets, t)
+}
+
+// Pop removes the last call.
+func (c *class) Pop() any {
+	last := len(c.tickets) - 1
+	t := c.tickets[last]
+	c.tickets[last] = nil
+	c.tickets = c.tickets[:last]
+	t.index = -1
+	return t
+}
--- a/internal/supervisor/callers/handler.go
+++ b/internal/supervisor/callers/handler.go
@@ -82,6 +82,7 @@
 		header.Set(call.HeaderReason, a.Reason)
 	}
 	if a.RetryAfter > 0 {
+		header.Set(call.HeaderRetryAfterMs, strconv.FormatInt(int64((a.RetryAfter+time.Millisecond-1)/time.Millisecond), 10))
 		header.Set("Retry-After", strconv.Itoa(int((a.RetryAfter+time.Second-1)/time.Second)))
 	}
 	header.Set("Content-Length", strconv.Itoa(len(a.Body)))
--- a/internal/supervisor/control/control.go
+++ b/internal/supervisor/control/control.go
@@ -47,6 +47,8 @@
 	servers    *lists.Servers
 	vms        *lists.VMs
 	leaving    bool
+	// awaitShares is true until the shares of the allowances can be used.
+	awaitShares bool
 }
 
 // New returns a control for the entry with the given peer address.
@@ -147,7 +149,7 @@
 	if c.vms != nil {
 		s.Peers = c.peers()
 	}
-	s.Ready = !c.leaving && c.plans != nil && s.Services != nil && c.vms != nil
+	s.Ready = !c.leaving && !c.awaitShares && c.plans != nil && s.Services != nil && c.vms != nil
 	c.holder.Store(s)
 }
 
--- a/internal/supervisor/peers/service.go
+++ b/internal/supervisor/peers/service.go
@@ -14,6 +14,7 @@
 	"github.com/baobabstack/baobabstack/internal/logs"
 	"github.com/baobabstack/baobabstack/internal/peerwire"
 	"github.com/baobabstack/baobabstack/internal/supervisor/control"
+	"github.com/baobabstack/baobabstack/internal/supervisor/shares"
 	"github.com/baobabstack/baobabstack/internal/view"
 )
 
@@ -27,6 +28,7 @@
 	holder      *view.Holder
 	control     *control.Control
 	links       *Links
+	book        *shares.Book
 	log         logs.Logger
 }
 
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -21,6 +21,7 @@
 	"github.com/baobabstack/baobabstack/internal/supervisor/control"
 	"github.com/baobabstack/baobabstack/internal/supervisor/peers"
 	"github.com/baobabstack/baobabstack/internal/supervisor/servers"
+	"github.com/baobabstack/baobabstack/internal/supervisor/shares"
 	"github.com/baobabstack/baobabstack/internal/tracing"
 	"github.com/baobabstack/baobabstack/internal/view"
 )
@@ -48,8 +49,14 @@
 	defer engine.Stop()
 
 	holder := &view.Holder{}
+	book := shares.NewBook(clock.Boot{})
 	ctl := control.New(s.Peers.Address, holder, servers.NewRegistry(engine))
-	dispatcher := dispatch.New(dispatch.Unlimited{}, dispatch.NewAttempts(holder, clock.Boot{}))
+	ctl.AwaitShares()
+	links := peers.NewLinks()
+	peerService := peers.NewService(s.Peers.Address, holder, ctl, links)
+	peerService.SetBook(book)
+	borrower := shares.NewService(book, holder, links, clock.Boot{}, func() bool { return ctl.Send(control.SharesUsable{}) })
+	dispatcher := dispatch.New(dispatch.NewLimits(holder, clock.Boot{}, book), dispatch.NewAttempts(holder, clock.Boot{}))
 	handler := callers.NewHandler(holder, clock.Boot{}, dispatcher, s.Callers.MaxInFlight)
 
 	root := suture.New("entry", suture.Spec{EventHook: func(e suture.Event) { log.Warnf("%s", e) }})
@@ -57,7 +64,8 @@
 	for _, name := range lists.Names() {
 		root.Add(configuration.NewWatcher(name, s.Configuration.URL, holder, ctl))
 	}
-	root.Add(peers.NewService(s.Peers.Address, holder, ctl, peers.NewLinks()))
+	root.Add(peerService)
+	root.Add(borrower)
 	root.Add(admin.NewService(s.Admin.Address, holder))
 	root.Add(callers.NewService(s.Callers.Address, s.Callers.MaxBodyBytes, handler))
 
