--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -46,6 +46,8 @@
 	Target string `json:"target"`
 	// Body is the request body.
 	Body string `json:"body"`
+	// At is when the call started, by the server's clock.
+	At time.Time `json:"at"`
 }
 
 // Reply is the body of a fake server's answer.
@@ -158,7 +160,7 @@
 		return
 	}
 	defer func() { <-s.slots }()
-	run := Run{Target: r.URL.RequestURI(), Body: string(body)}
+	run := Run{Target: r.URL.RequestURI(), Body: string(body), At: time.Now()}
 	s.record(run)
 	time.Sleep(time.Duration(float64(s.options.Work) * slow))
 	s.signals(w.Header())
