--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -4,20 +4,24 @@
 package main
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
 
+	"github.com/baobabstack/baobabstack/bench/capacity"
 	"github.com/baobabstack/baobabstack/bench/report"
+	"github.com/baobabstack/baobabstack/internal/knownred"
 )
 
 // measures lists all benchmarks in the order in which they run.
-var measures []report.Measure
+var measures = []report.Measure{
+	capacity.Measure(),
+}
 
 type options struct {
 	Short  bool   `long:"short" description:"Run in under 50 s altogether"`
@@ -40,12 +44,16 @@
 }
 
 func run(o options) error {
-	known, err := knownRed("KNOWN-RED.txt")
+	known, err := knownred.Names(knownred.File)
+	if err != nil {
+		return err
+	}
+	chosen, err := selected(o.Args.Names)
 	if err != nil {
 		return err
 	}
 	var red []string
-	for _, m := range selected(o.Args.Names) {
+	for _, m := range chosen {
 		lines, err := m.Run(context.Background(), report.Options{Short: o.Short, Seed: o.Seed, Binary: o.Binary})
 		if err != nil {
 			return errors.Wrap(err, m.Name)
@@ -63,38 +71,19 @@
 	return nil
 }
 
-func selected(names []string) []report.Measure {
+// selected returns the measures with these names, or all if none is given. An
+// unknown name is an error.
+func selected(names []string) ([]report.Measure, error) {
 	if len(names) == 0 {
-		return measures
+		return measures, nil
 	}
 	var out []report.Measure
-	for _, m := range measures {
-		for _, name := range names {
-			if m.Name == name {
-				out = append(out, m)
-			}
-		}
-	}
-	return out
-}
-
-// knownRed reads the names listed in KNOWN-RED.txt: the first word of each line
-// that starts with "test: ".
-func knownRed(file string) (map[string]bool, error) {
-	known := make(map[string]bool)
-	f, err := os.Open(file)
-	if os.IsNotExist(err) {
-		return known, nil
-	}
-	if err != nil {
-		return nil, errors.WithStack(err)
-	}
-	defer f.Close()
-	scanner := bufio.NewScanner(f)
-	for scanner.Scan() {
-		if name, ok := strings.CutPrefix(scanner.Text(), "test: "); ok {
-			known[strings.TrimSpace(name)] = true
+	for _, name := range names {
+		i := slices.IndexFunc(measures, func(m report.Measure) bool { return m.Name == name })
+		if i < 0 {
+			return nil, errors.Errorf("no measure is named %s", name)
 		}
+		out = append(out, measures[i])
 	}
-	return known, errors.WithStack(scanner.Err())
+	return out, nil
 }
