Run calls with tickets at the tickets' owner only

Cause: tickets were decided on by a table that nothing asked.

Change: answers carry a ticket where the plan has an operation that is not idempotent, GET /.baobab/ticket gives one, and a call with a ticket runs at the entry that minted it, forwarded over gRPC if it came elsewhere. A forward that waits checks its link every half second and drops it when no sign of life comes, so the next one uses a new connection. An entry that does not own a ticket claims nothing about its call. Shutdown waits for forwarded calls too.

Ruled out: gRPC keepalive alone, which can't look more often than every 10 s.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -78,6 +78,8 @@
 	Reason string
 	// RetryAfter suggests when to call again; 0 gives no advice.
 	RetryAfter time.Duration
+	// Ticket is a fresh ticket for the caller, if any.
+	Ticket string
 }
 
 // Refusal returns an answer that the system itself makes.
--- /dev/null
+++ b/internal/dispatch/ticket_refusal.go
@@ -0,0 +1,51 @@
+package dispatch
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/baobabstack/baobabstack/internal/call"
+	"github.com/baobabstack/baobabstack/internal/policy/outcome"
+	"github.com/baobabstack/baobabstack/internal/policy/ticket"
+)
+
+var ticketsMinted = metrics.NewCounter("baobab_tickets_minted_total")
+
+var actionNames = map[ticket.Action]string{
+	ticket.Run: "run", ticket.Join: "join", ticket.Replay: "replay", ticket.Refuse: "refuse",
+}
+
+// countDecision counts what was done with a call that carries a ticket.
+func countDecision(a ticket.Action, r ticket.Reason) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("baobab_ticket_calls_total{action=%q,reason=%q}", actionNames[a], r)).Inc()
+}
+
+// ticketRefusal returns the answer to a call that is refused for its ticket.
+func ticketRefusal(o outcome.Outcome, r ticket.Reason) call.Answer {
+	var advice time.Duration
+	if o == outcome.NotRun {
+		advice = retryAfter
+	}
+	return call.Refusal(o, statusOf(r), string(r), advice)
+}
+
+// statusOf returns the HTTP status for a reason.
+func statusOf(r ticket.Reason) int {
+	switch r {
+	case ticket.Invalid:
+		return http.StatusBadRequest
+	case ticket.OtherCustomer:
+		return http.StatusForbidden
+	case ticket.OtherRequest, ticket.Voided, ticket.Expired, reasonRunning:
+		return http.StatusConflict
+	case ticket.AnswerGone:
+		return http.StatusGone
+	case ticket.OwnerGone:
+		return http.StatusBadGateway
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
--- /dev/null
+++ b/internal/dispatch/tickets.go
@@ -0,0 +1,213 @@
+package dispatch
+
+import (
+	"context"
+	"crypto/rand"
+	"sync"
+	"time"
+
+	"github.com/baobabstack/baobabstack/internal/call"
+	"github.com/baobabstack/baobabstack/internal/clock"
+	"github.com/baobabstack/baobabstack/internal/lists"
+	"github.com/baobabstack/baobabstack/internal/policy/outcome"
+	"github.com/baobabstack/baobabstack/internal/policy/ticket"
+	"github.com/baobabstack/baobabstack/internal/view"
+)
+
+// Forwarder sends a call to the entry that owns its ticket.
+type Forwarder interface {
+	// Forward returns the owner's answer, or one with the outcome Unknown.
+	Forward(ctx context.Context, owner lists.VM, req *call.Request) call.Answer
+}
+
+// Limits of the tickets of one process.
+const (
+	ticketLifetime    = 10 * time.Minute
+	ticketWindow      = 1 << 18
+	ticketAnswerBytes = 32 << 20
+	ticketKeyBytes    = 32
+	// answerOverhead is the memory of a kept answer beside its body, in bytes.
+	answerOverhead = 512
+	waitEvery      = 10 * time.Millisecond
+)
+
+// runFunc admits and runs a call.
+type runFunc func(ctx context.Context, req *call.Request) call.Answer
+
+// Tickets mints tickets and runs each call that carries one at most once. It is
+// safe for concurrent use.
+type Tickets struct {
+	vm        string
+	holder    *view.Holder
+	clock     clock.Clock
+	forwarder Forwarder
+
+	mu      sync.Mutex
+	owner   *ticket.Owner[call.Answer]
+	flights map[uint64]chan struct{} // closed when the run has finished
+}
+
+// NewTickets returns the tickets of a new process of the VM with the given id. At
+// most maxRunning calls with tickets run at a time.
+func NewTickets(vm string, maxRunning int, holder *view.Holder, clk clock.Clock, f Forwarder) *Tickets {
+	config := ticket.Config{
+		VM: vm, Key: make([]byte, ticketKeyBytes), Lifetime: ticketLifetime, Window: ticketWindow,
+		MaxRunning: maxRunning, AnswerBytes: ticketAnswerBytes,
+	}
+	_, _ = rand.Read(config.Key)
+	_, _ = rand.Read(config.Incarnation[:])
+	return &Tickets{
+		vm: vm, holder: holder, clock: clk, forwarder: f,
+		owner: ticket.NewOwner[call.Answer](config), flights: make(map[uint64]chan struct{}),
+	}
+}
+
+// Mint returns the text of a new ticket for a customer, or "" if this entry is
+// leaving.
+func (t *Tickets) Mint(customer string) string {
+	if t.holder.Load().Leaving {
+		return ""
+	}
+	ticketsMinted.Inc()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.owner.Mint(customer, t.clock.Now())
+}
+
+// Wait returns when no call with a ticket of this entry runs.
+func (t *Tickets) Wait() {
+	for t.running() > 0 {
+		time.Sleep(waitEvery)
+	}
+}
+
+func (t *Tickets) running() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.flights)
+}
+
+// call answers a call that carries a ticket: here if this entry owns the ticket,
+// else at the VM that the list names for it. The ticket itself gives no address.
+func (t *Tickets) call(ctx context.Context, req *call.Request, run runFunc) call.Answer {
+	id, err := ticket.Parse(req.Ticket)
+	if err != nil {
+		return ticketRefusal(outcome.Unknown, ticket.Invalid)
+	}
+	if id.Owner == t.vm {
+		return t.own(ctx, req, run)
+	}
+	for _, vm := range t.holder.Load().Peers {
+		if vm.ID == id.Owner {
+			return t.forwarder.Forward(ctx, vm, req)
+		}
+	}
+	return ticketRefusal(outcome.Unknown, ticket.OwnerGone)
+}
+
+// own answers a call whose ticket names this VM.
+func (t *Tickets) own(ctx context.Context, req *call.Request, run runFunc) call.Answer {
+	if ctx.Err() != nil {
+		return call.Refusal(outcome.Unknown, statusOf(ticket.OwnerGone), "caller-gone", 0)
+	}
+	d, flight := t.decide(req)
+	countDecision(d.Action, d.Reason)
+	switch d.Action {
+	case ticket.Run:
+		return t.run(ctx, req, d.Sequence, run)
+	case ticket.Join:
+		return t.join(ctx, req, flight)
+	case ticket.Replay:
+		return d.Answer
+	default:
+		return ticketRefusal(d.Outcome, d.Reason)
+	}
+}
+
+// decide takes the owner's decision and returns the flight to join, if any.
+func (t *Tickets) decide(req *call.Request) (ticket.Decision[call.Answer], chan struct{}) {
+	f := fingerprint(req)
+	leaving := t.holder.Load().Leaving
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if leaving {
+		d := t.owner.Refuse(req.Ticket, req.Customer.Name, f, ticket.Leaving)
+		return d, t.flights[d.Sequence]
+	}
+	d := t.owner.Spend(req.Ticket, req.Customer.Name, f, t.clock.Now())
+	if d.Action == ticket.Run {
+		t.flights[d.Sequence] = make(chan struct{})
+	}
+	return d, t.flights[d.Sequence]
+}
+
+// refuse refuses a call that was forwarded to this entry. A ticket that was not
+// spent becomes void; else its call's outcome stands.
+func (t *Tickets) refuse(ctx context.Context, req *call.Request, reason ticket.Reason) call.Answer {
+	t.mu.Lock()
+	d := t.owner.Refuse(req.Ticket, req.Customer.Name, fingerprint(req), reason)
+	flight := t.flights[d.Sequence]
+	t.mu.Unlock()
+	countDecision(d.Action, d.Reason)
+	switch d.Action {
+	case ticket.Join:
+		return t.join(ctx, req, flight)
+	case ticket.Replay:
+		return d.Answer
+	default:
+		return ticketRefusal(d.Outcome, d.Reason)
+	}
+}
+
+// run runs a call to its end, also if the caller leaves, so that the answer is
+// there when the caller sends the call again.
+func (t *Tickets) run(ctx context.Context, req *call.Request, sequence uint64, run runFunc) call.Answer {
+	answer := call.Refusal(outcome.Unknown, statusOf(ticket.OwnerGone), "failed", 0)
+	defer func() { t.finish(sequence, answer) }()
+	answer = run(context.WithoutCancel(ctx), req)
+	return answer
+}
+
+// finish keeps the answer before anyone is told it.
+func (t *Tickets) finish(sequence uint64, answer call.Answer) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.owner.Finish(sequence, answer.Outcome, answer, answerBytes(answer))
+	close(t.flights[sequence])
+	delete(t.flights, sequence)
+}
+
+// join waits for a run that is under way, up to the call's own deadline.
+func (t *Tickets) join(ctx context.Context, req *call.Request, flight chan struct{}) call.Answer {
+	timer := time.NewTimer(req.Deadline - t.clock.Now())
+	defer timer.Stop()
+	select {
+	case <-flight:
+		d, _ := t.decide(req)
+		if d.Action == ticket.Replay {
+			return d.Answer
+		}
+		return ticketRefusal(d.Outcome, d.Reason)
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return call.Refusal(outcome.Unknown, statusOf(reasonRunning), string(reasonRunning), retryAfter)
+}
+
+// reasonRunning marks a call that is still running under its ticket.
+const reasonRunning ticket.Reason = "still-running"
+
+// fingerprint identifies a request for its ticket.
+func fingerprint(req *call.Request) ticket.Fingerprint {
+	return ticket.FingerprintOf([]byte(req.Service), []byte(req.Operation), []byte(req.Method), []byte(req.Target), req.Body)
+}
+
+func answerBytes(a call.Answer) int {
+	n := answerOverhead + len(a.Body)
+	for name, values := range a.Header {
+		for _, value := range values {
+			n += len(name) + len(value)
+		}
+	}
+	return n
+}
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -26,6 +26,9 @@
 	Servers map[string][]ServerOptions
 	// Plans and Allowances are the operators' lists; the samples if nil.
 	Plans, Allowances []byte
+	// PlatformFor returns the configuration service of the entry with the given
+	// index, or nil for the fleet's own. The caller publishes its lists.
+	PlatformFor func(entry int) *Platform
 	// Binary is the program to run as entries; see BuildBinary.
 	Binary string
 	// Log takes the entries' logs; nil drops them.
@@ -44,9 +47,10 @@
 	// Entries holds the entries in order.
 	Entries []*EntryProcess
 
-	dir     string
-	options FleetOptions
-	http    []*http.Server
+	dir       string
+	options   FleetOptions
+	http      []*http.Server
+	platforms map[string]string // URL by entry id
 }
 
 // RunningServer is a fake server with a listener.
@@ -99,9 +103,34 @@
 		f.Entries = append(f.Entries, e)
 	}
 	f.publishAll()
+	if err := f.startPlatforms(); err != nil {
+		return err
+	}
 	return f.startEntries(ctx)
 }
 
+// startPlatforms serves the platforms of entries that have one of their own.
+func (f *Fleet) startPlatforms() error {
+	f.platforms = make(map[string]string)
+	for i, e := range f.Entries {
+		f.platforms[e.ID] = f.PlatformURL
+		if f.options.PlatformFor == nil {
+			continue
+		}
+		platform := f.options.PlatformFor(i)
+		if platform == nil {
+			continue
+		}
+		server, address, err := listen(platform.Handler())
+		if err != nil {
+			return err
+		}
+		f.http = append(f.http, server)
+		f.platforms[e.ID] = "http://" + address
+	}
+	return nil
+}
+
 func (f *Fleet) addServer(service string, o ServerOptions) error {
 	s := NewServer(o)
 	server, address, err := listen(s.Handler())
@@ -165,7 +194,7 @@
 	if log == nil {
 		log = io.Discard
 	}
-	return e.Start(f.options.Binary, f.dir, f.PlatformURL, log)
+	return e.Start(f.options.Binary, f.dir, f.platforms[e.ID], log)
 }
 
 // Close kills the entries and closes everything.
--- a/internal/supervisor/callers/handler.go
+++ b/internal/supervisor/callers/handler.go
@@ -34,11 +34,15 @@
 	next     Caller
 	inFlight sync.WaitGroup
 	slots    chan struct{}
+	tickets  *ticketOffice
 }
 
 // NewHandler returns a handler that has at most maxInFlight calls in flight.
-func NewHandler(holder *view.Holder, clk clock.Clock, next Caller, maxInFlight int) *Handler {
-	return &Handler{holder: holder, clock: clk, next: next, slots: make(chan struct{}, maxInFlight)}
+func NewHandler(holder *view.Holder, clk clock.Clock, next Caller, maxInFlight int, tickets Minter) *Handler {
+	return &Handler{
+		holder: holder, clock: clk, next: next, slots: make(chan struct{}, maxInFlight),
+		tickets: &ticketOffice{minter: tickets},
+	}
 }
 
 // Wait returns when no call is in flight.
@@ -59,13 +63,18 @@
 	case h.slots <- struct{}{}:
 		defer func() { <-h.slots }()
 	default:
-		return call.Refusal(outcome.NotRun, http.StatusServiceUnavailable, "entry-full", time.Second)
+		return withoutClaim(r, call.Refusal(outcome.NotRun, http.StatusServiceUnavailable, "entry-full", time.Second))
+	}
+	if r.URL.Path == ticketPath && r.Method == http.MethodGet {
+		return h.ticketAnswer(r)
 	}
 	req, refusal := h.check(r, service, operation)
 	if refusal != nil {
-		return *refusal
+		return withoutClaim(r, *refusal)
 	}
-	return h.next.Call(ctx, req)
+	answer := h.next.Call(ctx, req)
+	answer.Ticket = h.tickets.mint(req.Customer, h.holder.Load().Allowances)
+	return answer
 }
 
 func (h *Handler) write(w http.ResponseWriter, span trace.Span, traceID string, a call.Answer) {
@@ -78,6 +87,9 @@
 	if a.Server != "" {
 		header.Set(call.HeaderServer, a.Server)
 	}
+	if a.Ticket != "" {
+		header.Set(call.HeaderTicket, a.Ticket)
+	}
 	if a.Reason != "" {
 		header.Set(call.HeaderReason, a.Reason)
 	}
--- a/internal/supervisor/peers/links.go
+++ b/internal/supervisor/peers/links.go
@@ -2,15 +2,32 @@
 
 import (
 	"sync"
+	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
 
 	"github.com/baobabstack/baobabstack/internal/lists"
 	"github.com/baobabstack/baobabstack/internal/peerwire"
 )
 
+var linksDropped = metrics.NewCounter("baobab_links_dropped_total")
+
+// Bounds on how long a silent link or an unreachable peer goes unnoticed. The
+// keepalive timeout is also the TCP user timeout, which bounds how long bytes
+// stay unacknowledged; flow control bounds how many do.
+var (
+	connectParams = grpc.ConnectParams{
+		Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 2, Jitter: 0.2, MaxDelay: time.Second},
+		MinConnectTimeout: 2 * time.Second,
+	}
+	keepaliveParams = keepalive.ClientParameters{Time: 10 * time.Second, Timeout: 2 * time.Second}
+)
+
 // Links holds one gRPC connection to each peer. It is safe for concurrent use.
 type Links struct {
 	mu    sync.Mutex
@@ -23,17 +40,42 @@
 // Client returns a client of the peer at the address; its connection is opened
 // on first use.
 func (l *Links) Client(address string) (peerwire.PeersClient, error) {
+	conn, err := l.Conn(address)
+	if err != nil {
+		return nil, err
+	}
+	return peerwire.NewPeersClient(conn), nil
+}
+
+// Conn returns the connection to the peer at the address.
+func (l *Links) Conn(address string) (*grpc.ClientConn, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if link, ok := l.links[address]; ok {
-		return peerwire.NewPeersClient(link), nil
+		return link, nil
 	}
-	link, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	link, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithConnectParams(connectParams), grpc.WithKeepaliveParams(keepaliveParams))
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
 	l.links[address] = link
-	return peerwire.NewPeersClient(link), nil
+	return link, nil
+}
+
+// Drop closes a connection that went silent, so that the next request to the
+// peer opens a new one, and reports whether it was still in use. Requests in
+// flight on it end with an error.
+func (l *Links) Drop(address string, conn *grpc.ClientConn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.links[address] != conn {
+		return false
+	}
+	delete(l.links, address)
+	_ = conn.Close()
+	linksDropped.Inc()
+	return true
 }
 
 // Keep closes the connections to all but the given VMs.
--- a/internal/supervisor/peers/service.go
+++ b/internal/supervisor/peers/service.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/keepalive"
 
 	"github.com/baobabstack/baobabstack/internal/logs"
 	"github.com/baobabstack/baobabstack/internal/peerwire"
@@ -17,7 +18,13 @@
 	"github.com/baobabstack/baobabstack/internal/view"
 )
 
-const incarnationSize = 16
+const (
+	incarnationSize = 16
+	stopTimeout     = time.Second
+)
+
+// enforcement lets peers send keepalives as often as they do.
+var enforcement = keepalive.EnforcementPolicy{MinTime: 5 * time.Second, PermitWithoutStream: true}
 
 // Service runs the peers' listener and the exchange of digests.
 type Service struct {
@@ -27,16 +34,19 @@
 	holder      *view.Holder
 	control     *control.Control
 	links       *Links
+	owned       *Owned
+	maxBytes    int
 	log         logs.Logger
 }
 
 // NewService returns the peers' service of the entry with the given address.
-func NewService(address string, holder *view.Holder, c *control.Control, links *Links) *Service {
+// Forwarded calls have bodies of at most maxBodyBytes.
+func NewService(address string, holder *view.Holder, c *control.Control, links *Links, owned *Owned, maxBodyBytes int) *Service {
 	incarnation := make([]byte, incarnationSize)
 	_, _ = rand.Read(incarnation)
 	return &Service{
 		address: address, incarnation: incarnation, holder: holder, control: c,
-		links: links, log: logs.For("peers"),
+		links: links, owned: owned, maxBytes: messageBytes(maxBodyBytes), log: logs.For("peers"),
 	}
 }
 
@@ -46,11 +56,11 @@
 	if err != nil {
 		return errors.Wrapf(err, "peers: listen on %s", s.address)
 	}
-	server := grpc.NewServer()
+	server := grpc.NewServer(grpc.MaxRecvMsgSize(s.maxBytes), grpc.KeepaliveEnforcementPolicy(enforcement))
 	peerwire.RegisterPeersServer(server, s)
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
-	defer server.Stop()
+	defer stop(server)
 	s.log.Infof("listen on %s", listener.Addr())
 	ticker := time.NewTicker(exchangeEvery)
 	defer ticker.Stop()
@@ -66,3 +76,10 @@
 		}
 	}
 }
+
+// stop lets answers that are ready go out before the connections close.
+func stop(server *grpc.Server) {
+	timer := time.AfterFunc(stopTimeout, server.Stop)
+	defer timer.Stop()
+	server.GracefulStop()
+}
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -49,15 +49,19 @@
 
 	holder := &view.Holder{}
 	ctl := control.New(s.Peers.Address, holder, servers.NewRegistry(engine))
-	dispatcher := dispatch.New(dispatch.Unlimited{}, dispatch.NewAttempts(holder, clock.Boot{}))
-	handler := callers.NewHandler(holder, clock.Boot{}, dispatcher, s.Callers.MaxInFlight)
+	links := peers.NewLinks()
+	forwarder := peers.NewForwarder(links, clock.Boot{}, s.Callers.MaxBodyBytes)
+	tickets := dispatch.NewTickets(s.Entry.ID, s.Callers.MaxInFlight, holder, clock.Boot{}, forwarder)
+	dispatcher := dispatch.New(dispatch.Unlimited{}, dispatch.NewAttempts(holder, clock.Boot{}), tickets)
+	handler := callers.NewHandler(holder, clock.Boot{}, dispatcher, s.Callers.MaxInFlight, tickets)
+	owned := peers.NewOwned(holder, clock.Boot{}, dispatcher)
 
 	root := suture.New("entry", suture.Spec{EventHook: func(e suture.Event) { log.Warnf("%s", e) }})
 	root.Add(ctl)
 	for _, name := range lists.Names() {
 		root.Add(configuration.NewWatcher(name, s.Configuration.URL, holder, ctl))
 	}
-	root.Add(peers.NewService(s.Peers.Address, holder, ctl, peers.NewLinks()))
+	root.Add(peers.NewService(s.Peers.Address, holder, ctl, links, owned, s.Callers.MaxBodyBytes))
 	root.Add(admin.NewService(s.Admin.Address, holder))
 	root.Add(callers.NewService(s.Callers.Address, s.Callers.MaxBodyBytes, handler))
 
@@ -65,7 +69,7 @@
 	defer stopTree()
 	done := root.ServeBackground(treeCtx)
 	<-ctx.Done()
-	drain(ctl, handler, log)
+	drain(ctl, log, handler, tickets)
 	stopTree()
 	if err := <-done; err != nil && !errors.Is(err, context.Canceled) {
 		log.Errorf("the tree ended: %v", err)
@@ -75,12 +79,17 @@
 	return stopTracing(flushCtx)
 }
 
+// waiter is a part with calls in flight.
+type waiter interface{ Wait() }
+
 // drain stops new calls and waits for those in flight.
-func drain(ctl *control.Control, handler *callers.Handler, log logs.Logger) {
+func drain(ctl *control.Control, log logs.Logger, parts ...waiter) {
 	ctl.Send(control.StopRequested{})
 	idle := make(chan struct{})
 	go func() {
-		handler.Wait()
+		for _, part := range parts {
+			part.Wait()
+		}
 		close(idle)
 	}()
 	select {
