--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -29,6 +29,8 @@
 	// PlatformFor returns the configuration service of the entry with the given
 	// index, or nil for the fleet's own. The caller publishes its lists.
 	PlatformFor func(entry int) *Platform
+	// Started is called once addresses are known, before the entries start.
+	Started func(*Fleet)
 	// Binary is the program to run as entries; see BuildBinary.
 	Binary string
 	// Log takes the entries' logs; nil drops them.
@@ -106,6 +108,9 @@
 	if err := f.startPlatforms(); err != nil {
 		return err
 	}
+	if f.options.Started != nil {
+		f.options.Started(f)
+	}
 	return f.startEntries(ctx)
 }
 
