Choose servers by corrected reports, success and slow start, measured

Cause: the choice used reports for ever, allocated a map, slices and a random source for each call, and no decision had been measured.

Change: bench/policy drives the decision code against in-memory queues, with random, round robin, least in flight, two choices, a probe pool after Wydrowski et al. (NSDI 2024) and a shared queue over the same arrivals. bench/storm measures attempts at 7 levels with a third of the servers failing fast. internal/policy/pick scores own calls plus the latest report, whose weight fades (10 ms) towards the mean of the servers looked at; success rate, ejection with a ceiling, one trial call and slow start enter the rank; at most 16 servers are looked at. internal/policy/retry has budgets filled by calls and the delay of a hedge; internal/policy/probe spaces probes by 1/rate with a random phase. The entry uses them: hedges of idempotent calls, connections in the order of arrival, a refused connect or a leaving signal takes a server out at once.

--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -14,12 +14,16 @@
 	"github.com/pkg/errors"
 
 	"github.com/baobabstack/baobabstack/bench/capacity"
+	"github.com/baobabstack/baobabstack/bench/policy"
 	"github.com/baobabstack/baobabstack/bench/report"
+	"github.com/baobabstack/baobabstack/bench/storm"
 	"github.com/baobabstack/baobabstack/internal/knownred"
 )
 
 // measures lists all benchmarks in the order in which they run.
 var measures = []report.Measure{
+	policy.Measure,
+	storm.Measure,
 	capacity.Measure(),
 }
 
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -2,25 +2,28 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
+	"sync"
+	"time"
 
 	"github.com/baobabstack/baobabstack/internal/call"
 	"github.com/baobabstack/baobabstack/internal/clock"
+	"github.com/baobabstack/baobabstack/internal/defect"
 	"github.com/baobabstack/baobabstack/internal/policy/outcome"
-	"github.com/baobabstack/baobabstack/internal/policy/pick"
 	"github.com/baobabstack/baobabstack/internal/supervisor/servers"
 	"github.com/baobabstack/baobabstack/internal/tracing"
 	"github.com/baobabstack/baobabstack/internal/view"
 )
 
-// maxAttempts bounds the attempts of one call.
-const maxAttempts = 3
-
-// Attempts is the Runner that tries servers one after the other.
+// Attempts is the Runner that tries servers until one answers. Only calls that
+// did not run are repeated, and idempotent ones; both within a budget that calls
+// fill. An answer is never repeated, also if it is an error: whoever made it has
+// had the chance to repeat the call that failed.
 type Attempts struct {
 	holder *view.Holder
 	clock  clock.Clock
+
+	services sync.Map // *budgets by service name
 }
 
 // NewAttempts returns a runner that reads snapshots from the holder.
@@ -30,68 +33,157 @@
 
 // Run answers an admitted call.
 func (a *Attempts) Run(ctx context.Context, req *call.Request) call.Answer {
-	snapshot := a.holder.Load()
-	slots := snapshot.Allowances.Services[req.Service].Slots
-	list := snapshot.Services[req.Service]
-	var last servers.Result
-	tried := make(map[*servers.Server]bool, maxAttempts)
-	for range maxAttempts {
-		s := choose(list, slots, tried)
-		if s == nil {
-			break
-		}
-		tried[s] = true
-		last = a.attempt(ctx, req, s)
-		if last.Outcome == outcome.Answered {
-			return last.Answer
-		}
-		if last.Outcome == outcome.Unknown && !req.Idempotent {
-			return call.Refusal(outcome.Unknown, http.StatusBadGateway, "server-lost", 0)
-		}
-		if a.clock.Now() >= req.Deadline || ctx.Err() != nil {
-			break
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r := a.newRun(req)
+	hedge := time.NewTimer(r.budgets.call())
+	defer hedge.Stop()
+	r.launch(ctx)
+	for r.open > 0 {
+		select {
+		case result := <-r.results:
+			r.open--
+			if r.settles(result) {
+				return r.answer(result)
+			}
+			r.repeat(ctx, result)
+		case <-hedge.C:
+			r.hedge(ctx)
 		}
 	}
-	return a.giveUp(req, last, len(tried) > 0)
+	return r.giveUp()
+}
+
+// run is the state of one call's attempts.
+type run struct {
+	*Attempts
+	req     *call.Request
+	budgets *budgets
+	choice  choice
+	start   time.Duration
+	tried   [maxAttempts]*servers.Server
+	count   int // attempts made
+	open    int // attempts without a result
+	results chan servers.Result
+	unknown bool // an attempt may have run
+}
+
+func (a *Attempts) newRun(req *call.Request) *run {
+	snapshot := a.holder.Load()
+	service := snapshot.Allowances.Services[req.Service]
+	stored, ok := a.services.Load(req.Service)
+	if !ok {
+		stored, _ = a.services.LoadOrStore(req.Service, newBudgets())
+	}
+	r := &run{
+		Attempts: a, req: req, budgets: stored.(*budgets), start: a.clock.Now(),
+		results: make(chan servers.Result, maxAttempts),
+	}
+	r.choice = choice{
+		list: snapshot.Services[req.Service], slots: service.Slots, tried: &r.tried,
+		trials: req.Idempotent || !service.HasIdempotent(),
+	}
+	return r
+}
+
+// launch starts an attempt, and reports false if there is no server for it.
+func (r *run) launch(ctx context.Context) bool {
+	if r.count == maxAttempts {
+		return false
+	}
+	r.choice.now = r.clock.Now()
+	s := r.choice.next()
+	if s == nil {
+		return false
+	}
+	r.tried[r.count] = s
+	r.count++
+	r.open++
+	go func() { r.results <- r.attempt(ctx, s) }()
+	return true
 }
 
-func (a *Attempts) attempt(ctx context.Context, req *call.Request, s *servers.Server) servers.Result {
+func (r *run) attempt(ctx context.Context, s *servers.Server) servers.Result {
 	ctx, span := tracing.StartAttempt(ctx, s.Info.ID)
-	attempt := *req
+	attempt := *r.req
 	attempt.TraceParent = tracing.TraceParent(ctx)
-	result := s.Do(ctx, a.clock, &attempt)
+	result := s.Do(ctx, r.clock, &attempt)
 	tracing.EndAttempt(span, result.Outcome, result.Err)
 	return result
 }
 
+// settles reports whether a result ends the call.
+func (r *run) settles(result servers.Result) bool {
+	if result.Outcome == outcome.Unknown {
+		r.unknown = true
+		return !r.req.Idempotent
+	}
+	return result.Outcome == outcome.Answered
+}
+
+func (r *run) answer(result servers.Result) call.Answer {
+	if result.Outcome != outcome.Answered {
+		return r.lost()
+	}
+	r.budgets.answered(r.clock.Now() - r.start)
+	return result.Answer
+}
+
+// repeat makes another attempt after one that failed, if no other is open. An
+// attempt that never reached a server costs no budget.
+func (r *run) repeat(ctx context.Context, last servers.Result) {
+	if r.open > 0 || r.late(ctx) {
+		return
+	}
+	reached := last.Rejected || last.Outcome == outcome.Unknown
+	if reached && !r.budgets.takeRetry() {
+		extraRefused.Inc()
+		return
+	}
+	if r.launch(ctx) {
+		retries.Inc()
+	}
+}
+
+// hedge makes a second attempt beside a slow first one.
+func (r *run) hedge(ctx context.Context) {
+	if !r.req.Idempotent && !defect.On("hedge-of-bookings") {
+		return
+	}
+	if r.count > 1 || r.late(ctx) {
+		return
+	}
+	if !r.budgets.takeHedge() {
+		extraRefused.Inc()
+		return
+	}
+	if r.launch(ctx) {
+		hedges.Inc()
+	}
+}
+
+func (r *run) late(ctx context.Context) bool {
+	return r.clock.Now() >= r.req.Deadline || ctx.Err() != nil
+}
+
 // giveUp answers a call that no server answered.
-func (a *Attempts) giveUp(req *call.Request, last servers.Result, tried bool) call.Answer {
+func (r *run) giveUp() call.Answer {
 	switch {
-	case !tried:
+	case r.unknown:
+		return r.lost()
+	case r.count == 0:
 		return call.Refusal(outcome.NotRun, http.StatusServiceUnavailable, "no-server", retryAfter)
-	case last.Outcome == outcome.Unknown:
-		return call.Refusal(outcome.Unknown, http.StatusBadGateway, "server-lost", 0)
-	case a.clock.Now() >= req.Deadline:
+	case r.clock.Now() >= r.req.Deadline:
 		return call.Refusal(outcome.NotRun, http.StatusGatewayTimeout, "deadline", retryAfter)
 	default:
 		return call.Refusal(outcome.NotRun, http.StatusServiceUnavailable, "rejected", retryAfter)
 	}
 }
 
-// choose returns the best server that takes work and was not tried, or nil.
-func choose(list []*servers.Server, slots int, tried map[*servers.Server]bool) *servers.Server {
-	candidates := make([]pick.Candidate, 0, len(list))
-	eligible := make([]*servers.Server, 0, len(list))
-	for _, s := range list {
-		if !s.TakesWork() || tried[s] {
-			continue
-		}
-		candidates = append(candidates, s.Candidate(slots))
-		eligible = append(eligible, s)
-	}
-	i := pick.Least(candidates, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	if i < 0 {
-		return nil
+// lost answers a call that may have run.
+func (r *run) lost() call.Answer {
+	if r.clock.Now() >= r.req.Deadline {
+		return call.Refusal(outcome.Unknown, http.StatusGatewayTimeout, "deadline", 0)
 	}
-	return eligible[i]
+	return call.Refusal(outcome.Unknown, http.StatusBadGateway, "server-lost", 0)
 }
--- a/internal/lists/allowances.go
+++ b/internal/lists/allowances.go
@@ -203,3 +203,13 @@
 	}
 	return Allowance{Rate: raw.Rate, Burst: raw.Burst, Concurrency: raw.Concurrency, Deadline: deadline, Priority: raw.Priority}, faults
 }
+
+// HasIdempotent reports whether the service offers an idempotent operation.
+func (s Service) HasIdempotent() bool {
+	for _, op := range s.Operations {
+		if op.Idempotent {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/policy/retry/delay.go
@@ -0,0 +1,35 @@
+package retry
+
+import "time"
+
+const (
+	hedgeQuantile = 0.95
+	firstDelay    = 50 * time.Millisecond
+	minDelay      = time.Millisecond
+	// stepShare is the step of the estimate relative to its value.
+	stepShare = 0.05
+)
+
+// Delay estimates the quantile of latency after which a call is hedged (Dean
+// and Barroso, "The Tail at Scale", CACM 2013) by stochastic approximation: each
+// latency above the estimate raises it and each one below lowers it, in
+// proportions that balance at the quantile. It is not safe for concurrent use.
+type Delay struct {
+	estimate float64 // nanoseconds
+}
+
+// NewDelay returns an estimate that has seen no latency.
+func NewDelay() Delay { return Delay{estimate: float64(firstDelay)} }
+
+// Observe notes the latency of a first attempt, or how long it had run when
+// another attempt was answered instead.
+func (d *Delay) Observe(latency time.Duration) {
+	if float64(latency) > d.estimate {
+		d.estimate *= 1 + stepShare*hedgeQuantile
+		return
+	}
+	d.estimate = max(d.estimate*(1-stepShare*(1-hedgeQuantile)), float64(minDelay))
+}
+
+// Get returns the estimate.
+func (d *Delay) Get() time.Duration { return time.Duration(d.estimate) }
--- /dev/null
+++ b/internal/policy/retry/retry_test.go
@@ -0,0 +1,47 @@
+package retry
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func TestBudgetNeverExceedsItsShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		share := rapid.Float64Range(0, 0.5).Draw(t, "share")
+		burst := rapid.Float64Range(1, 20).Draw(t, "burst")
+		b := NewBudget(share, burst, burst)
+		calls, taken := 0, 0
+		for _, call := range rapid.SliceOfN(rapid.Bool(), 0, 500).Draw(t, "events") {
+			if call {
+				calls++
+				b.Call()
+				continue
+			}
+			if b.Take() {
+				taken++
+			}
+		}
+		assert.Assert(t, float64(taken) <= burst+share*float64(calls)+1e-6)
+	})
+}
+
+func TestDelayFindsTheQuantile(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	d := NewDelay()
+	var sum float64
+	const n = 20_000
+	for i := range 2 * n {
+		d.Observe(time.Duration(rng.ExpFloat64() * float64(10*time.Millisecond)))
+		if i >= n {
+			sum += float64(d.Get())
+		}
+	}
+	want := -math.Log(1-hedgeQuantile) * float64(10*time.Millisecond)
+	got := sum / n
+	assert.Assert(t, math.Abs(got-want) < 0.15*want, "%v instead of %v", time.Duration(got), time.Duration(want))
+}
--- a/internal/supervisor/servers/attempt.go
+++ b/internal/supervisor/servers/attempt.go
@@ -7,19 +7,24 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/baobabstack/baobabstack/internal/call"
 	"github.com/baobabstack/baobabstack/internal/clock"
+	"github.com/baobabstack/baobabstack/internal/defect"
 	"github.com/baobabstack/baobabstack/internal/policy/outcome"
+	"github.com/baobabstack/baobabstack/internal/policy/pick"
 )
 
 // Result is how one attempt at a server ended.
 type Result struct {
 	// Outcome says whether the server ran the call.
 	Outcome outcome.Outcome
+	// Rejected says that the server itself refused the call without starting it.
+	Rejected bool
 	// Answer is the server's answer; set if Outcome is Answered.
 	Answer call.Answer
 	// Err says why there is no answer.
@@ -28,50 +33,70 @@
 
 // freshFor is how recently an idle connection must have carried an answer to
 // carry a call that is not idempotent.
-const freshFor = 2 * time.Second
+const freshFor = 500 * time.Millisecond
 
 var errLate = errors.New("the deadline has passed")
 
 // Do runs one attempt of a call at the server. The attempt ends at the call's
-// deadline or when the context does.
+// deadline or when the context does; its connection is closed then, so that a
+// late answer has no one to go to.
 func (s *Server) Do(ctx context.Context, clk clock.Clock, req *call.Request) Result {
-	s.inFlight.Add(1)
-	defer s.inFlight.Add(-1)
-	ctx, cancel := context.WithTimeout(ctx, req.Deadline-clk.Now())
+	s.sent()
+	limited, cancel := context.WithTimeout(ctx, req.Deadline-clk.Now())
 	defer cancel()
 	fresh := idleTimeout
-	if !req.Idempotent {
+	if !req.Idempotent && !defect.On("stale-connection-for-bookings") {
 		fresh = freshFor
 	}
-	c, err := s.pool.get(ctx, fresh)
+	c, err := s.pool.get(limited, fresh)
 	if err != nil {
-		s.observe(errors.Is(err, errPoolFull))
+		s.notSent(limited, err)
 		return Result{Outcome: outcome.NotRun, Err: err}
 	}
-	return s.send(ctx, clk, req, c)
+	result, end := s.send(limited, clk, req, c)
+	if ctx.Err() != nil && end == pick.Failed {
+		end = pick.Cancelled
+	}
+	s.done(end)
+	return result
+}
+
+// notSent notes an attempt that got no connection.
+func (s *Server) notSent(ctx context.Context, err error) {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		s.done(pick.Cancelled)
+		s.refused()
+	case ctx.Err() != nil || errors.Is(err, errPoolClosed):
+		s.done(pick.Cancelled)
+	default:
+		s.done(pick.Failed)
+	}
 }
 
 // send writes the request unless it is too late, and waits for the answer.
-func (s *Server) send(ctx context.Context, clk clock.Clock, req *call.Request, c *conn) Result {
+func (s *Server) send(ctx context.Context, clk clock.Clock, req *call.Request, c *conn) (Result, pick.End) {
 	left := req.Deadline - clk.Now()
 	if left <= 0 || ctx.Err() != nil {
 		s.pool.put(c)
-		return Result{Outcome: outcome.NotRun, Err: errors.WithStack(errLate)}
+		return Result{Outcome: outcome.NotRun, Err: errors.WithStack(errLate)}, pick.Cancelled
 	}
-	r := c.exchange(ctx, newHTTPRequest(req, s.Info.Address, left))
+	sentAt := time.Now()
+	r := c.exchange(ctx, newHTTPRequest(req, s.Info.Address, left), func() { s.pool.suspect(sentAt) })
 	if r.err != nil {
 		s.pool.discard(c)
-		s.observe(false)
-		return Result{Outcome: outcome.Unknown, Err: r.err}
+		return Result{Outcome: outcome.Unknown, Err: r.err}, pick.Failed
 	}
-	s.pool.put(c)
 	s.learn(r.header)
+	s.pool.put(c)
 	if r.header.Get(call.HeaderNotStarted) == "true" {
-		s.observe(false)
-		return Result{Outcome: outcome.NotRun, Err: errors.Errorf("server %s rejected the call", s.Info.ID)}
+		return Result{Outcome: outcome.NotRun, Rejected: true, Err: errors.Errorf("server %s rejected the call", s.Info.ID)}, pick.Rejected
 	}
-	s.observe(r.status < http.StatusInternalServerError)
-	return Result{Outcome: outcome.Answered, Answer: s.answer(r)}
+	end := pick.Succeeded
+	if r.status >= http.StatusInternalServerError {
+		end = pick.Failed
+	}
+	return Result{Outcome: outcome.Answered, Answer: s.answer(r)}, end
 }
 
 func (s *Server) answer(r reply) call.Answer {
@@ -80,16 +105,6 @@
 	return call.Answer{Outcome: outcome.Answered, Status: r.status, Header: header, Body: r.body, Server: s.Info.ID}
 }
 
-// learn reads the signals that ride on an answer.
-func (s *Server) learn(h http.Header) {
-	if load, err := strconv.Atoi(h.Get(call.HeaderLoad)); err == nil && load >= 0 {
-		s.report(load)
-	}
-	if h.Get(call.HeaderState) == "leaving" {
-		s.signal.Store(true)
-	}
-}
-
 func newHTTPRequest(req *call.Request, address string, left time.Duration) *http.Request {
 	header := req.Header.Clone()
 	if header == nil {
--- a/internal/supervisor/servers/conn.go
+++ b/internal/supervisor/servers/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/lesismal/nbio/nbhttp"
@@ -14,10 +15,16 @@
 
 // conn is one connection to a server; it carries one call at a time.
 type conn struct {
-	client   *nbhttp.ClientConn
+	client *nbhttp.ClientConn
+	opened time.Time
+	// lastUsed is when the connection last carried an answer, or was opened.
 	lastUsed time.Time
+	closed   atomic.Bool
 }
 
+// usable reports whether neither side has closed the connection.
+func (c *conn) usable() bool { return !c.closed.Load() }
+
 type reply struct {
 	status int
 	header http.Header
@@ -36,22 +43,36 @@
 		Engine: engine,
 		Dial:   func(_, _ string) (net.Conn, error) { return raw, nil },
 	}
-	return &conn{client: client, lastUsed: time.Now()}, nil
+	now := time.Now()
+	c := &conn{client: client, opened: now, lastUsed: now}
+	client.OnClose(func() { c.closed.Store(true) })
+	return c, nil
 }
 
+// overdueAfter is how long an answer may take before the other connections to
+// the server are no longer trusted.
+const overdueAfter = 500 * time.Millisecond
+
 // exchange sends a request and waits for the whole answer. From the call on,
-// bytes of the request may have reached the server.
-func (c *conn) exchange(ctx context.Context, req *http.Request) reply {
+// bytes of the request may have reached the server. Overdue is called once if
+// the answer takes longer than overdueAfter.
+func (c *conn) exchange(ctx context.Context, req *http.Request, overdue func()) reply {
 	done := make(chan reply, 1)
 	c.client.Do(req, func(res *http.Response, _ net.Conn, err error) {
 		done <- readReply(req.Method, res, err)
 	})
-	select {
-	case r := <-done:
-		c.lastUsed = time.Now()
-		return r
-	case <-ctx.Done():
-		return reply{err: errors.WithStack(ctx.Err())}
+	timer := time.NewTimer(overdueAfter)
+	defer timer.Stop()
+	for {
+		select {
+		case r := <-done:
+			c.lastUsed = time.Now()
+			return r
+		case <-timer.C:
+			overdue()
+		case <-ctx.Done():
+			return reply{err: errors.WithStack(ctx.Err())}
+		}
 	}
 }
 
--- a/internal/supervisor/servers/pool.go
+++ b/internal/supervisor/servers/pool.go
@@ -2,28 +2,39 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
-)
 
-var (
-	errPoolFull   = errors.New("all connections to the server are in use")
-	errPoolClosed = errors.New("the server has left")
+	"github.com/baobabstack/baobabstack/internal/defect"
 )
 
-// pool holds the connections of this entry to one server.
+var errPoolClosed = errors.New("the server has left")
+
+// pool holds the connections of this entry to one server. Calls that find all
+// of them in use wait in the order in which they came.
 type pool struct {
 	engine  *nbhttp.Engine
 	address string
 
-	mu     sync.Mutex
-	limit  int
-	open   int
-	idle   []*conn
-	closed bool
+	mu      sync.Mutex
+	limit   int
+	open    int
+	idle    []*conn
+	waiters []chan grant
+	closed  bool
+	// dropBefore closes connections that were opened before, after their call.
+	dropBefore time.Time
+}
+
+// grant gives a waiting call a connection, or the right to open one, or an
+// error.
+type grant struct {
+	c   *conn
+	err error
 }
 
 func newPool(engine *nbhttp.Engine, address string, limit int) *pool {
@@ -35,14 +46,23 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.limit = limit
+	p.admit()
 }
 
-// get returns an idle connection or opens one. With fresh set, an idle
-// connection must have carried an answer within that time.
+// get returns an idle connection or opens one; it waits for its turn until the
+// context ends. An idle connection must have carried an answer within fresh.
 func (p *pool) get(ctx context.Context, fresh time.Duration) (*conn, error) {
-	c, err := p.reserve(fresh)
-	if c != nil || err != nil {
-		return c, err
+	c, turn, err := p.reserve(fresh)
+	if err != nil {
+		return nil, err
+	}
+	if turn != nil {
+		if c, err = p.wait(ctx, turn); err != nil {
+			return nil, err
+		}
+	}
+	if c != nil {
+		return c, nil
 	}
 	c, err = dial(ctx, p.engine, p.address)
 	if err != nil {
@@ -52,54 +72,149 @@
 	return c, nil
 }
 
-// reserve returns an idle connection, or nil after counting a new one as open.
-func (p *pool) reserve(fresh time.Duration) (*conn, error) {
+// wait waits for a grant.
+func (p *pool) wait(ctx context.Context, turn chan grant) (*conn, error) {
+	select {
+	case g := <-turn:
+		return g.c, g.err
+	case <-ctx.Done():
+	}
+	p.mu.Lock()
+	i := slices.Index(p.waiters, turn)
+	if i >= 0 {
+		p.waiters = slices.Delete(p.waiters, i, i+1)
+	}
+	p.mu.Unlock()
+	if i < 0 {
+		p.returnGrant(<-turn)
+	}
+	return nil, errors.WithStack(ctx.Err())
+}
+
+// returnGrant gives back what came after the call had stopped waiting.
+func (p *pool) returnGrant(g grant) {
+	switch {
+	case g.err != nil:
+	case g.c != nil:
+		p.put(g.c)
+	default:
+		p.release()
+	}
+}
+
+// reserve returns an idle connection, a turn to wait for, or neither after
+// counting a connection to open.
+func (p *pool) reserve(fresh time.Duration) (*conn, chan grant, error) {
 	var stale []*conn
 	defer func() { closeAll(stale) }()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
-		return nil, errPoolClosed
+		return nil, nil, errors.WithStack(errPoolClosed)
 	}
 	for len(p.idle) > 0 {
 		c := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
-		if time.Since(c.lastUsed) < min(fresh, idleTimeout) {
-			return c, nil
+		if time.Since(c.lastUsed) < min(fresh, idleTimeout) && c.usable() {
+			return c, nil, nil
 		}
 		p.open--
 		stale = append(stale, c)
 	}
-	if p.open >= p.limit {
-		return nil, errPoolFull
+	if p.open < p.limit {
+		p.open++
+		return nil, nil, nil
+	}
+	turn := make(chan grant, 1)
+	p.waiters = append(p.waiters, turn)
+	return nil, turn, nil
+}
+
+// admit lets waiting calls open connections while there is room.
+func (p *pool) admit() {
+	for len(p.waiters) > 0 && p.open < p.limit {
+		p.open++
+		p.next(grant{})
 	}
-	p.open++
-	return nil, nil
+}
+
+func (p *pool) next(g grant) {
+	p.waiters[0] <- g
+	p.waiters = p.waiters[1:]
 }
 
 func (p *pool) release() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.open--
+	p.admit()
 }
 
 // put returns a connection after a whole answer.
 func (p *pool) put(c *conn) {
 	p.mu.Lock()
-	if !p.closed && p.open <= p.limit {
+	keep := !p.closed && p.open <= p.limit && c.usable() && c.opened.After(p.dropBefore)
+	if len(p.waiters) > 0 && time.Since(c.lastUsed) >= freshFor {
+		keep = false
+	}
+	switch {
+	case keep && len(p.waiters) > 0:
+		p.next(grant{c: c})
+	case keep:
 		p.idle = append(p.idle, c)
-		p.mu.Unlock()
-		return
+	default:
+		p.open--
+		p.admit()
 	}
-	p.open--
 	p.mu.Unlock()
-	c.close()
+	if !keep {
+		c.close()
+	}
 }
 
 // discard closes a connection that must not be used again.
 func (p *pool) discard(c *conn) {
-	p.release()
 	c.close()
+	p.release()
+}
+
+// suspect drops the idle connections that carried no answer since a request
+// whose answer is overdue was sent: what lost track of its connection may have
+// lost track of them too.
+func (p *pool) suspect(since time.Time) {
+	if defect.On("siblings-not-suspect") {
+		return
+	}
+	p.drop(func(c *conn) bool { return c.lastUsed.Before(since) })
+}
+
+// dropIdle closes the idle connections, and those in use after their call.
+func (p *pool) dropIdle() {
+	p.mu.Lock()
+	p.dropBefore = time.Now()
+	p.mu.Unlock()
+	p.drop(func(*conn) bool { return true })
+}
+
+// trim closes connections that were idle for too long.
+func (p *pool) trim() {
+	p.drop(func(c *conn) bool { return time.Since(c.lastUsed) >= idleTimeout || !c.usable() })
+}
+
+func (p *pool) drop(which func(*conn) bool) {
+	var dropped []*conn
+	p.mu.Lock()
+	p.idle = slices.DeleteFunc(p.idle, func(c *conn) bool {
+		if !which(c) {
+			return false
+		}
+		dropped = append(dropped, c)
+		return true
+	})
+	p.open -= len(dropped)
+	p.admit()
+	p.mu.Unlock()
+	closeAll(dropped)
 }
 
 func (p *pool) close() {
@@ -108,6 +223,9 @@
 	p.idle = nil
 	p.open -= len(idle)
 	p.closed = true
+	for len(p.waiters) > 0 {
+		p.next(grant{err: errPoolClosed})
+	}
 	p.mu.Unlock()
 	closeAll(idle)
 }
--- /dev/null
+++ b/internal/supervisor/servers/probe.go
@@ -0,0 +1,62 @@
+package servers
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/baobabstack/baobabstack/internal/policy/probe"
+)
+
+const (
+	probePath    = "/_load"
+	probeTimeout = time.Second
+)
+
+// ProbeDue reports whether the server may be probed now, at rate probes a
+// second, and counts the probe. A server with a fresh signal is never probed.
+// Random is uniform in [0,1).
+func (s *Server) ProbeDue(now time.Duration, rate, random float64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	stale := s.state.Leaving() || probe.Stale(s.state.ReportAge(now))
+	return s.schedule.Take(now, rate, random) && stale
+}
+
+// Probe asks the server for its load and state. A connection for it comes from
+// the same limit as those for calls.
+func (s *Server) Probe(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	c, err := s.pool.get(ctx, idleTimeout)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		s.refused()
+	}
+	if err != nil {
+		return err
+	}
+	r := c.exchange(ctx, newProbe(s.Info.Address), func() {})
+	if r.err != nil {
+		s.pool.discard(c)
+		return r.err
+	}
+	if r.status == http.StatusOK {
+		s.learnProbe(r.header)
+	}
+	s.pool.put(c)
+	return nil
+}
+
+func newProbe(address string) *http.Request {
+	return &http.Request{
+		Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: address, Path: probePath}, Host: address,
+		Header: make(http.Header), Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+}
+
+// Trim closes connections that were idle for too long.
+func (s *Server) Trim() { s.pool.trim() }
--- a/internal/supervisor/servers/registry.go
+++ b/internal/supervisor/servers/registry.go
@@ -3,6 +3,8 @@
 import (
 	"github.com/lesismal/nbio/nbhttp"
 
+	"github.com/baobabstack/baobabstack/internal/clock"
+	"github.com/baobabstack/baobabstack/internal/defect"
 	"github.com/baobabstack/baobabstack/internal/lists"
 )
 
@@ -10,12 +12,13 @@
 // the control goroutine only.
 type Registry struct {
 	engine  *nbhttp.Engine
+	clock   clock.Clock
 	servers map[string]*Server
 }
 
 // NewRegistry returns a registry whose connections run on the engine.
 func NewRegistry(engine *nbhttp.Engine) *Registry {
-	return &Registry{engine: engine, servers: make(map[string]*Server)}
+	return &Registry{engine: engine, clock: clock.Boot{}, servers: make(map[string]*Server)}
 }
 
 // Apply brings the registry in line with the lists and returns the servers by
@@ -41,22 +44,31 @@
 func (r *Registry) keep(info lists.Server, limit int) *Server {
 	old, known := r.servers[info.ID]
 	if !known || old.Info.Address != info.Address || old.Info.Service != info.Service {
-		return newServer(info, newPool(r.engine, info.Address, limit))
+		return newServer(info, r.clock, newPool(r.engine, info.Address, limit))
 	}
 	old.pool.setLimit(limit)
 	if old.Info == info {
 		return old
 	}
-	s := newServer(info, old.pool)
-	s.success.Store(old.success.Load())
-	s.others.Store(old.others.Load())
-	return s
+	if old.Info.State == lists.Leaving && info.State == lists.Live {
+		old.setLeaving(false)
+	}
+	if old.Info.State == lists.Live && info.State == lists.Leaving {
+		old.pool.dropIdle()
+	}
+	return &Server{Info: info, learned: old.learned}
 }
 
-// connectionLimit is this entry's part of a server's connections.
+// connectionLimit is this entry's part of a server's connections: hedges and
+// probes take theirs from it too. The divisor is the number of entries of the
+// allowances list and not of the entries seen, so that a partition or a lagging
+// list can't raise the sum.
 func connectionLimit(allowances *lists.Allowances, service string) int {
 	if allowances == nil {
 		return 0
 	}
+	if defect.On("connections-not-divided") {
+		return allowances.Services[service].Connections
+	}
 	return max(allowances.Services[service].Connections/allowances.Entries, 1)
 }
--- a/internal/supervisor/servers/server.go
+++ b/internal/supervisor/servers/server.go
@@ -1,70 +1,62 @@
 package servers
 
 import (
-	"math"
-	"sync/atomic"
+	"sync"
 	"time"
 
+	"github.com/baobabstack/baobabstack/internal/clock"
 	"github.com/baobabstack/baobabstack/internal/lists"
 	"github.com/baobabstack/baobabstack/internal/policy/pick"
+	"github.com/baobabstack/baobabstack/internal/policy/probe"
 )
 
-// Server is one backend server as this entry sees it. Its counters are safe for
-// concurrent use.
+// Server is one backend server as this entry sees it. It is safe for concurrent
+// use.
 type Server struct {
 	// Info is the server's line in the platform's list.
 	Info lists.Server
 
-	pool     *pool
-	inFlight atomic.Int64
-	others   atomic.Uint64 // math.Float64bits of other entries' calls
-	success  atomic.Uint64 // math.Float64bits of the share of successes
-	signal   atomic.Bool   // the server said that it is leaving
+	*learned
 }
 
-const successWeight = 0.1
+// learned is what an entry has learned of a server; it outlives changes of the
+// server's line that leave its address as it is.
+type learned struct {
+	clock clock.Clock
+	pool  *pool
 
-func newServer(info lists.Server, p *pool) *Server {
-	s := &Server{Info: info, pool: p}
-	s.success.Store(math.Float64bits(1))
-	return s
+	mu       sync.Mutex
+	state    pick.State
+	schedule probe.Schedule
 }
 
-// Candidate returns the server's state for a pick. Slots come from the
-// allowances list.
-func (s *Server) Candidate(slots int) pick.Candidate {
-	return pick.Candidate{
-		InFlight: int(s.inFlight.Load()),
-		Others:   math.Float64frombits(s.others.Load()),
-		Slots:    slots,
-		Success:  math.Float64frombits(s.success.Load()),
-		Ramp:     1,
+func newServer(info lists.Server, clk clock.Clock, p *pool) *Server {
+	return &Server{Info: info, learned: &learned{clock: clk, pool: p, state: pick.NewState(clk.Now())}}
+}
+
+// Candidate returns the server's state for a choice, and false if it takes no
+// call. Slots come from the allowances list.
+func (s *Server) Candidate(now time.Duration, slots int) (pick.Candidate, bool) {
+	if s.Info.State != lists.Live {
+		return pick.Candidate{}, false
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.Candidate(now, slots)
 }
 
 // TakesWork reports whether new calls may go to the server.
 func (s *Server) TakesWork() bool {
-	return s.Info.State == lists.Live && !s.signal.Load()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Info.State == lists.Live && !s.state.Leaving() && !s.state.Ejected()
 }
 
 // InFlight returns this entry's own calls at the server.
-func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
-
-// report notes a load report that came with an answer. The count of calls in
-// flight at the server includes those of this entry.
-func (s *Server) report(load int) {
-	others := max(float64(load)-float64(s.inFlight.Load()), 0)
-	s.others.Store(math.Float64bits(others))
-}
-
-// observe notes whether a call succeeded.
-func (s *Server) observe(ok bool) {
-	sample := 0.0
-	if ok {
-		sample = 1
-	}
-	old := math.Float64frombits(s.success.Load())
-	s.success.Store(math.Float64bits(old + successWeight*(sample-old)))
+func (s *Server) InFlight() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.InFlight()
 }
 
 // Close closes the server's idle connections; those in use close after their
