--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -43,7 +43,7 @@
 	key := shares.Key{Customer: req.Customer.Name, Service: req.Service}
 	pass, refusal := l.book.Admit(key, shares.LimitOf(allowance, snapshot.Allowances.Entries))
 	if refusal.Reason != "" {
-		return nil, refuse(statusOf(refusal.Reason), string(refusal.Reason), refusal.RetryAfter)
+		return nil, refuse(statusOfLimit(refusal.Reason), string(refusal.Reason), refusal.RetryAfter)
 	}
 	leave, answer := l.queues.enter(ctx, req, allowance.Priority, placesFor(snapshot, req.Service))
 	if answer != nil {
@@ -56,7 +56,7 @@
 	}, nil
 }
 
-func statusOf(r shares.Reason) int {
+func statusOfLimit(r shares.Reason) int {
 	if r == shares.Memory {
 		return http.StatusServiceUnavailable
 	}
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -53,11 +53,13 @@
 	ctl := control.New(s.Peers.Address, holder, servers.NewRegistry(engine))
 	ctl.AwaitShares()
 	links := peers.NewLinks()
-	peerService := peers.NewService(s.Peers.Address, holder, ctl, links)
+	forwarder := peers.NewForwarder(links, clock.Boot{}, s.Callers.MaxBodyBytes)
+	tickets := dispatch.NewTickets(s.Entry.ID, s.Callers.MaxInFlight, holder, clock.Boot{}, forwarder)
+	dispatcher := dispatch.New(dispatch.NewLimits(holder, clock.Boot{}, book), dispatch.NewAttempts(holder, clock.Boot{}), tickets)
+	handler := callers.NewHandler(holder, clock.Boot{}, dispatcher, s.Callers.MaxInFlight, tickets)
+	owned := peers.NewOwned(holder, clock.Boot{}, dispatcher)
+	peerService := peers.NewService(s.Peers.Address, holder, ctl, links, owned, s.Callers.MaxBodyBytes)
 	peerService.SetBook(book)
-	borrower := shares.NewService(book, holder, links, clock.Boot{}, func() bool { return ctl.Send(control.SharesUsable{}) })
-	dispatcher := dispatch.New(dispatch.NewLimits(holder, clock.Boot{}, book), dispatch.NewAttempts(holder, clock.Boot{}))
-	handler := callers.NewHandler(holder, clock.Boot{}, dispatcher, s.Callers.MaxInFlight)
 
 	root := suture.New("entry", suture.Spec{EventHook: func(e suture.Event) { log.Warnf("%s", e) }})
 	root.Add(ctl)
@@ -65,7 +67,7 @@
 		root.Add(configuration.NewWatcher(name, s.Configuration.URL, holder, ctl))
 	}
 	root.Add(peerService)
-	root.Add(borrower)
+	root.Add(shares.NewService(book, holder, links, clock.Boot{}, func() bool { return ctl.Send(control.SharesUsable{}) }))
 	root.Add(admin.NewService(s.Admin.Address, holder))
 	root.Add(callers.NewService(s.Callers.Address, s.Callers.MaxBodyBytes, handler))
 
@@ -73,7 +75,7 @@
 	defer stopTree()
 	done := root.ServeBackground(treeCtx)
 	<-ctx.Done()
-	drain(ctl, handler, log)
+	drain(ctl, log, handler, tickets)
 	stopTree()
 	if err := <-done; err != nil && !errors.Is(err, context.Canceled) {
 		log.Errorf("the tree ended: %v", err)
@@ -83,12 +85,17 @@
 	return stopTracing(flushCtx)
 }
 
+// waiter is a part with calls in flight.
+type waiter interface{ Wait() }
+
 // drain stops new calls and waits for those in flight.
-func drain(ctl *control.Control, handler *callers.Handler, log logs.Logger) {
+func drain(ctl *control.Control, log logs.Logger, parts ...waiter) {
 	ctl.Send(control.StopRequested{})
 	idle := make(chan struct{})
 	go func() {
-		handler.Wait()
+		for _, part := range parts {
+			part.Wait()
+		}
 		close(idle)
 	}()
 	select {
