Bound the bodies that the process holds by one budget

The HTTP engines' buffers count as they are allocated; a call reserves its body and what its service's answers take before it is read, or is refused with 503, memory, not-run. A buffer that the library loses is given back by the garbage collector, so that no leak can use the budget up.

Weighed: reserving max_body_bytes for each answer of unknown length admits 32 calls at a time with the default settings; the size follows what the service sent instead. What is still arriving on a slow connection is counted but not cut.

--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -8,6 +8,8 @@
 	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
+
+	"github.com/baobabstack/baobabstack/internal/memory"
 )
 
 func init() { logging.SetLevel(logging.LevelNone) }
@@ -22,6 +24,8 @@
 	MaxBodyBytes int
 	// Handler answers requests, each in a goroutine of its own.
 	Handler http.Handler
+	// Memory counts the bodies that the listener holds; nil counts none.
+	Memory *memory.Budget
 }
 
 // headBytes bounds the bytes that the parser holds beside a body.
@@ -36,12 +40,16 @@
 // Start listens and serves until Stop.
 func Start(o Options) (*Server, error) {
 	s := &Server{}
-	s.engine = nbhttp.NewEngine(nbhttp.Config{
+	config := nbhttp.Config{
 		Name: o.Name, Network: "tcp", Addrs: []string{o.Address}, Handler: o.Handler,
 		MaxHTTPBodySize: o.MaxBodyBytes, ReadLimit: o.MaxBodyBytes + headBytes,
 		ServerExecutor: func(f func()) { go f() },
 		Listen:         s.listen,
-	})
+	}
+	if o.Memory != nil {
+		config.BodyAllocator = o.Memory.Allocator()
+	}
+	s.engine = nbhttp.NewEngine(config)
 	if err := s.engine.Start(); err != nil {
 		return nil, errors.Wrapf(err, "%s: listen on %s", o.Name, o.Address)
 	}
--- /dev/null
+++ b/internal/memory/budget_test.go
@@ -0,0 +1,42 @@
+package memory
+
+import (
+	"runtime"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestReserveRefusesWhatDoesNotFit(t *testing.T) {
+	b := NewBudget(100)
+	assert.Assert(t, b.Reserve(60))
+	assert.Assert(t, !b.Reserve(41))
+	assert.Assert(t, b.Reserve(40))
+	b.Release(100)
+	assert.Equal(t, b.Used(), 0)
+}
+
+func TestAllocatorCountsWhatItHolds(t *testing.T) {
+	b := NewBudget(100)
+	a := b.Allocator()
+	buf := a.Append(a.Malloc(10), make([]byte, 1000)...)
+	assert.Equal(t, b.Used(), cap(*buf))
+	assert.Assert(t, !b.Reserve(1))
+	a.Free(buf)
+	assert.Equal(t, b.Used(), 0)
+}
+
+func TestBufferThatIsNeverFreedIsGivenBack(t *testing.T) {
+	b := NewBudget(100)
+	a := b.Allocator()
+	for range 10 {
+		a.Malloc(1000)
+	}
+	deadline := time.Now().Add(30 * time.Second)
+	for b.Used() > 0 {
+		assert.Assert(t, time.Now().Before(deadline), "%d bytes are still counted", b.Used())
+		runtime.GC()
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/internal/supervisor/callers/handler.go
+++ b/internal/supervisor/callers/handler.go
@@ -15,6 +15,7 @@
 	"github.com/baobabstack/baobabstack/internal/call"
 	"github.com/baobabstack/baobabstack/internal/clock"
 	"github.com/baobabstack/baobabstack/internal/lists"
+	"github.com/baobabstack/baobabstack/internal/memory"
 	"github.com/baobabstack/baobabstack/internal/policy/outcome"
 	"github.com/baobabstack/baobabstack/internal/tracing"
 	"github.com/baobabstack/baobabstack/internal/view"
@@ -35,13 +36,15 @@
 	inFlight sync.WaitGroup
 	slots    chan struct{}
 	tickets  *ticketOffice
+	memory   *memoryGate
 }
 
-// NewHandler returns a handler that has at most maxInFlight calls in flight.
-func NewHandler(holder *view.Holder, clk clock.Clock, next Caller, maxInFlight int, tickets Minter) *Handler {
+// NewHandler returns a handler that has at most maxInFlight calls in flight and
+// whose bodies count against the budget.
+func NewHandler(holder *view.Holder, clk clock.Clock, next Caller, maxInFlight int, tickets Minter, budget *memory.Budget) *Handler {
 	return &Handler{
 		holder: holder, clock: clk, next: next, slots: make(chan struct{}, maxInFlight),
-		tickets: &ticketOffice{minter: tickets},
+		tickets: &ticketOffice{minter: tickets}, memory: newMemoryGate(budget),
 	}
 }
 
@@ -68,11 +71,17 @@
 	if r.URL.Path == ticketPath && r.Method == http.MethodGet {
 		return h.ticketAnswer(r)
 	}
+	leave, ok := h.memory.enter(r, service)
+	if !ok {
+		return withoutClaim(r, call.Refusal(outcome.NotRun, http.StatusServiceUnavailable, "memory", time.Second))
+	}
+	defer leave()
 	req, refusal := h.check(r, service, operation)
 	if refusal != nil {
 		return withoutClaim(r, *refusal)
 	}
 	answer := h.next.Call(ctx, req)
+	h.memory.observe(service, len(answer.Body))
 	answer.Ticket = h.tickets.mint(req.Customer, h.holder.Load().Allowances)
 	return answer
 }
--- a/internal/supervisor/callers/service.go
+++ b/internal/supervisor/callers/service.go
@@ -5,6 +5,7 @@
 
 	"github.com/baobabstack/baobabstack/internal/httpserver"
 	"github.com/baobabstack/baobabstack/internal/logs"
+	"github.com/baobabstack/baobabstack/internal/memory"
 )
 
 // Service runs the callers' listener under supervision.
@@ -15,9 +16,9 @@
 }
 
 // NewService returns the service of a handler.
-func NewService(address string, maxBodyBytes int, h *Handler) *Service {
+func NewService(address string, maxBodyBytes int, h *Handler, budget *memory.Budget) *Service {
 	return &Service{
-		options: httpserver.Options{Name: "callers", Address: address, MaxBodyBytes: maxBodyBytes, Handler: h},
+		options: httpserver.Options{Name: "callers", Address: address, MaxBodyBytes: maxBodyBytes, Handler: h, Memory: budget},
 		handler: h, log: logs.For("callers"),
 	}
 }
--- a/internal/supervisor/callers/tickets_test.go
+++ b/internal/supervisor/callers/tickets_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/baobabstack/baobabstack/internal/call"
 	"github.com/baobabstack/baobabstack/internal/clock"
+	"github.com/baobabstack/baobabstack/internal/memory"
 	"github.com/baobabstack/baobabstack/internal/view"
 )
 
@@ -21,7 +22,7 @@
 // ready says not-run only to calls without a ticket.
 func TestRefusalsClaimNothingForTickets(t *testing.T) {
 	for _, maxInFlight := range []int{0, 1} {
-		h := NewHandler(&view.Holder{}, clock.Boot{}, noCaller{}, maxInFlight, nil)
+		h := NewHandler(&view.Holder{}, clock.Boot{}, noCaller{}, maxInFlight, nil, memory.NewBudget(1<<20))
 		for ticket, want := range map[string]string{"": "not-run", "any": "unknown"} {
 			r := httptest.NewRequest(http.MethodPost, "/moves/book", nil)
 			if ticket != "" {
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -14,6 +14,7 @@
 	"github.com/baobabstack/baobabstack/internal/dispatch"
 	"github.com/baobabstack/baobabstack/internal/lists"
 	"github.com/baobabstack/baobabstack/internal/logs"
+	"github.com/baobabstack/baobabstack/internal/memory"
 	"github.com/baobabstack/baobabstack/internal/settings"
 	"github.com/baobabstack/baobabstack/internal/supervisor/admin"
 	"github.com/baobabstack/baobabstack/internal/supervisor/callers"
@@ -39,9 +40,11 @@
 	if err != nil {
 		return err
 	}
+	budget := memory.NewBudget(s.Callers.MemoryBytes)
 	engine := nbhttp.NewEngine(nbhttp.Config{
 		Name: "servers", ReadLimit: s.Callers.MaxBodyBytes + 1<<16, MaxHTTPBodySize: s.Callers.MaxBodyBytes,
 		ServerExecutor: func(f func()) { go f() }, ClientExecutor: func(f func()) { go f() },
+		BodyAllocator: budget.Allocator(),
 	})
 	if err := engine.Start(); err != nil {
 		return errors.Wrap(err, "supervisor: start the servers' engine")
@@ -56,7 +59,7 @@
 	forwarder := peers.NewForwarder(links, clock.Boot{}, s.Callers.MaxBodyBytes)
 	tickets := dispatch.NewTickets(s.Entry.ID, s.Callers.MaxInFlight, holder, clock.Boot{}, forwarder)
 	dispatcher := dispatch.New(dispatch.NewLimits(holder, clock.Boot{}, book), dispatch.NewAttempts(holder, clock.Boot{}), tickets)
-	handler := callers.NewHandler(holder, clock.Boot{}, dispatcher, s.Callers.MaxInFlight, tickets)
+	handler := callers.NewHandler(holder, clock.Boot{}, dispatcher, s.Callers.MaxInFlight, tickets, budget)
 	owned := peers.NewOwned(holder, clock.Boot{}, dispatcher)
 	peerService := peers.NewService(s.Peers.Address, holder, ctl, links, owned, s.Callers.MaxBodyBytes)
 	peerService.SetBook(book)
@@ -69,7 +72,7 @@
 	root.Add(peerService)
 	root.Add(shares.NewService(book, holder, links, clock.Boot{}, func() bool { return ctl.Send(control.SharesUsable{}) }))
 	root.Add(admin.NewService(s.Admin.Address, holder))
-	root.Add(callers.NewService(s.Callers.Address, s.Callers.MaxBodyBytes, handler))
+	root.Add(callers.NewService(s.Callers.Address, s.Callers.MaxBodyBytes, handler, budget))
 
 	treeCtx, stopTree := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopTree()
