--- a/internal/dispatch/tickets.go
+++ b/internal/dispatch/tickets.go
@@ -108,7 +108,7 @@
 // own answers a call whose ticket names this VM.
 func (t *Tickets) own(ctx context.Context, req *call.Request, run runFunc) call.Answer {
 	if ctx.Err() != nil {
-		return call.Refusal(outcome.Unknown, statusOf(ticket.OwnerGone), "caller-gone", 0)
+		return call.Refusal(outcome.Unknown, ticketStatus(ticket.OwnerGone), "caller-gone", 0)
 	}
 	d, flight := t.decide(req)
 	countDecision(d.Action, d.Reason)
@@ -162,7 +162,7 @@
 // run runs a call to its end, also if the caller leaves, so that the answer is
 // there when the caller sends the call again.
 func (t *Tickets) run(ctx context.Context, req *call.Request, sequence uint64, run runFunc) call.Answer {
-	answer := call.Refusal(outcome.Unknown, statusOf(ticket.OwnerGone), "failed", 0)
+	answer := call.Refusal(outcome.Unknown, ticketStatus(ticket.OwnerGone), "failed", 0)
 	defer func() { t.finish(sequence, answer) }()
 	answer = run(context.WithoutCancel(ctx), req)
 	return answer
@@ -191,7 +191,7 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return call.Refusal(outcome.Unknown, statusOf(reasonRunning), string(reasonRunning), retryAfter)
+	return call.Refusal(outcome.Unknown, ticketStatus(reasonRunning), string(reasonRunning), retryAfter)
 }
 
 // reasonRunning marks a call that is still running under its ticket.
