Keep a stalled service and large bodies from taking the whole entry

A service runs at most a quarter of max_in_flight and keeps at most another quarter waiting.

That pool is now replaced by one that counts buffers of 4 KiB and more. What is still arriving is counted, and refuses others, but is not cut.

--- a/bench/limits/model.go
+++ b/bench/limits/model.go
@@ -61,6 +61,8 @@
 }
 
 const (
+	// maxInFlight is the calls that an entry takes.
+	maxInFlight  = 4096
 	callDeadline = 2 * time.Second
 	// calmShare is the part of its allowance that a customer offers.
 	calmShare = 0.7
@@ -144,7 +146,7 @@
 		}
 		var queues []*admit.Queue
 		for _, s := range m.services {
-			queues = append(queues, admit.NewQueue(int(m.overcommit*float64(s.slots)/float64(m.entries))+1))
+			queues = append(queues, admit.NewQueue(admit.BoundsOf(int(m.overcommit*float64(s.slots)/float64(m.entries))+1, maxInFlight)))
 		}
 		m.waiting = append(m.waiting, make([][]*callModel, len(m.services)))
 		m.buckets, m.queues = append(m.buckets, buckets), append(m.queues, queues)
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"time"
 
@@ -9,6 +10,8 @@
 
 	"github.com/baobabstack/baobabstack/internal/call"
 	"github.com/baobabstack/baobabstack/internal/clock"
+	"github.com/baobabstack/baobabstack/internal/defect"
+	"github.com/baobabstack/baobabstack/internal/policy/admit"
 	"github.com/baobabstack/baobabstack/internal/policy/outcome"
 	"github.com/baobabstack/baobabstack/internal/supervisor/shares"
 	"github.com/baobabstack/baobabstack/internal/view"
@@ -21,12 +24,14 @@
 	clock  clock.Clock
 	book   *shares.Book
 	queues queues
+	// most is the calls of all services that the entry takes.
+	most int
 }
 
 // NewLimits returns an admission that reads the lists from the holder and this
-// entry's shares from the book.
-func NewLimits(holder *view.Holder, clk clock.Clock, book *shares.Book) *Limits {
-	return &Limits{holder: holder, clock: clk, book: book, queues: queues{clock: clk}}
+// entry's shares from the book. The entry takes at most so many calls at a time.
+func NewLimits(holder *view.Holder, clk clock.Clock, book *shares.Book, maxInFlight int) *Limits {
+	return &Limits{holder: holder, clock: clk, book: book, queues: queues{clock: clk}, most: maxInFlight}
 }
 
 // Admit takes the call's share of its allowance and a place at the service's
@@ -43,9 +48,9 @@
 	key := shares.Key{Customer: req.Customer.Name, Service: req.Service}
 	pass, refusal := l.book.Admit(key, shares.LimitOf(allowance, snapshot.Allowances.Entries))
 	if refusal.Reason != "" {
-		return nil, refuse(statusOfLimit(refusal.Reason), string(refusal.Reason), refusal.RetryAfter)
+		return nil, refuse(shareStatus(refusal.Reason), string(refusal.Reason), refusal.RetryAfter)
 	}
-	leave, answer := l.queues.enter(ctx, req, allowance.Priority, placesFor(snapshot, req.Service))
+	leave, answer := l.queues.enter(ctx, req, allowance.Priority, l.boundsOf(snapshot, req.Service))
 	if answer != nil {
 		pass.Refund()
 		return nil, answer
@@ -56,7 +61,7 @@
 	}, nil
 }
 
-func statusOfLimit(r shares.Reason) int {
+func shareStatus(r shares.Reason) int {
 	if r == shares.Memory {
 		return http.StatusServiceUnavailable
 	}
@@ -68,12 +73,15 @@
 // still use slots that the others leave free.
 const overcommit = 4
 
-// placesFor returns the calls of a service that this entry may have in flight.
-func placesFor(snapshot *view.Snapshot, service string) int {
+// boundsOf returns the calls of a service that this entry takes.
+func (l *Limits) boundsOf(snapshot *view.Snapshot, service string) admit.Bounds {
+	if defect.On("no-service-bound") {
+		return admit.Bounds{Running: math.MaxInt, Waiting: math.MaxInt}
+	}
 	slots := snapshot.Allowances.Services[service].Slots
 	entries := len(snapshot.Peers) + 1
 	places := (overcommit*slots*len(snapshot.Services[service]) + entries - 1) / entries
-	return max(places, slots)
+	return admit.BoundsOf(max(places, slots), l.most)
 }
 
 // refuse returns a refusal that says not-run, and counts it.
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -4,6 +4,8 @@
 
 import (
 	"sync/atomic"
+
+	"github.com/baobabstack/baobabstack/internal/defect"
 )
 
 // Budget counts bytes against a limit. It is safe for concurrent use.
@@ -17,7 +19,7 @@
 
 // Reserve takes bytes that will be held and reports whether they fit.
 func (b *Budget) Reserve(n int) bool {
-	if b.used.Add(int64(n)) > b.limit {
+	if b.used.Add(int64(n)) > b.limit && !defect.On("no-memory-budget") {
 		b.used.Add(-int64(n))
 		return false
 	}
--- a/internal/memory/budget_test.go
+++ b/internal/memory/budget_test.go
@@ -19,8 +19,8 @@
 
 func TestAllocatorCountsWhatItHolds(t *testing.T) {
 	b := NewBudget(100)
-	a := b.Allocator()
-	buf := a.Append(a.Malloc(10), make([]byte, 1000)...)
+	a := newAllocator(b)
+	buf := a.Append(a.Malloc(10), make([]byte, countFrom)...)
 	assert.Equal(t, b.Used(), cap(*buf))
 	assert.Assert(t, !b.Reserve(1))
 	a.Free(buf)
@@ -29,9 +29,9 @@
 
 func TestBufferThatIsNeverFreedIsGivenBack(t *testing.T) {
 	b := NewBudget(100)
-	a := b.Allocator()
+	a := newAllocator(b)
 	for range 10 {
-		a.Malloc(1000)
+		a.Malloc(countFrom)
 	}
 	deadline := time.Now().Add(30 * time.Second)
 	for b.Used() > 0 {
--- a/internal/policy/admit/queue_test.go
+++ b/internal/policy/admit/queue_test.go
@@ -47,7 +47,7 @@
 }
 
 func TestBacklogOfOneCustomerDoesNotDelayAnother(t *testing.T) {
-	q, names := NewQueue(1), map[*Ticket]string{}
+	q, names := NewQueue(BoundsOf(1, 1000)), map[*Ticket]string{}
 	for range 20 {
 		arrive(t, q, names, "noisy", 1)
 	}
@@ -58,7 +58,7 @@
 }
 
 func TestLowerPriorityNumberGoesFirstAndTheOtherIsNotStarved(t *testing.T) {
-	q, names := NewQueue(1), map[*Ticket]string{}
+	q, names := NewQueue(BoundsOf(1, 1000)), map[*Ticket]string{}
 	for i := range 3 {
 		arrive(t, q, names, fmt.Sprintf("planner-%d", i), 9)
 	}
@@ -76,7 +76,7 @@
 }
 
 func TestFullQueueDropsTheLongestBacklog(t *testing.T) {
-	q := NewQueue(1)
+	q := NewQueue(BoundsOf(1, 1000))
 	var last *Ticket
 	for range 1 + minWaiting {
 		last, _, _ = q.Arrive(0, "noisy", 1, time.Hour)
@@ -89,7 +89,7 @@
 }
 
 func TestCallThatCannotStartInTimeIsRefusedAtOnce(t *testing.T) {
-	q := NewQueue(1)
+	q := NewQueue(BoundsOf(1, 1000))
 	_, _, _ = q.Arrive(0, "a", 1, time.Hour)
 	q.Done(0, time.Second)
 	_, _, _ = q.Arrive(0, "a", 1, time.Hour)
@@ -105,7 +105,7 @@
 
 func TestQueueKeepsItsCounts(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		q := NewQueue(rapid.IntRange(1, 4).Draw(t, "limit"))
+		q := NewQueue(BoundsOf(rapid.IntRange(1, 4).Draw(t, "limit"), 1000))
 		var now time.Duration
 		running := 0
 		var waiting []*Ticket
@@ -148,13 +148,13 @@
 				assert.Assert(t, q.Cancel(waiting[i]))
 				waiting = append(waiting[:i:i], waiting[i+1:]...)
 			},
-			"limit":   func(t *rapid.T) { q.SetLimit(now, rapid.IntRange(1, 4).Draw(t, "limit")) },
+			"limit":   func(t *rapid.T) { q.SetBounds(now, BoundsOf(rapid.IntRange(1, 4).Draw(t, "limit"), 1000)) },
 			"advance": func(t *rapid.T) { now += time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond },
 			"": func(t *rapid.T) {
 				settle()
 				assert.Equal(t, q.running, running)
 				assert.Equal(t, q.Waiting(), len(waiting))
-				assert.Assert(t, q.running >= q.limit || q.waiting == 0, "a place is free while calls wait")
+				assert.Assert(t, q.running >= q.bounds.Running || q.waiting == 0, "a place is free while calls wait")
 			},
 		})
 	})
--- a/internal/supervisor/peers/service.go
+++ b/internal/supervisor/peers/service.go
@@ -35,9 +35,9 @@
 	holder      *view.Holder
 	control     *control.Control
 	links       *Links
-	book        *shares.Book
 	owned       *Owned
 	maxBytes    int
+	book        *shares.Book
 	log         logs.Logger
 }
 
