--- a/bench/limits/limits.go
+++ b/bench/limits/limits.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"runtime"
 	"strconv"
 	"time"
@@ -19,6 +20,9 @@
 // another's p99.
 const maxInfluence = 1.10
 
+// unbounded lets an entry have any number of calls in flight.
+const unbounded = 1000
+
 // Measure returns the benchmark.
 func Measure() report.Measure { return report.Measure{Name: "limits", Run: run} }
 
@@ -68,19 +72,24 @@
 	}
 }
 
-// skewLines measures the bound on calls in flight for an entry that gets four
-// times the others' calls, against no such bound.
+// skewLines measures the bound on calls in flight for an entry that gets many
+// times the others' calls, against no such bound. Calls have no allowance here,
+// since the bound is what is compared.
 func skewLines(seed uint64, length time.Duration) []report.Line {
-	p99 := func(overcommit float64) float64 {
+	p99 := func(skew, overcommit float64, reports bool) float64 {
 		m := stockModel(seed, length)
-		m.skew, m.overcommit = 4, overcommit
+		m.unlimited, m.reports, m.skew, m.overcommit = true, reports, skew, overcommit
 		return m.p99Of(others)
 	}
-	free := p99(1000)
 	var lines []report.Line
-	for _, overcommit := range []float64{1, 2, 4, 8} {
-		name := "limits_skewed_entry_p99_ratio_overcommit_" + strconv.Itoa(int(overcommit))
-		lines = append(lines, report.Info(name, p99(overcommit)/free, "ratio"))
+	for _, skew := range []float64{4, 100} {
+		free := p99(skew, unbounded, false)
+		for _, by := range []float64{1, 2, 4} {
+			name := fmt.Sprintf("limits_skew_%g_p99_ratio_overcommit_%g", skew, by)
+			lines = append(lines, report.Info(name, p99(skew, by, false)/free, "ratio"))
+		}
+		name := fmt.Sprintf("limits_skew_%g_p99_ratio_with_reports", skew)
+		lines = append(lines, report.AtMost(name, p99(skew, overcommit, true)/free, "ratio", maxInfluence))
 	}
 	return lines
 }
--- a/bench/limits/model.go
+++ b/bench/limits/model.go
@@ -21,6 +21,7 @@
 	overcommit float64
 	skew       float64 // calls of the first entry for each call of another
 	unlimited  bool    // no allowances
+	reports    bool    // entries know how many slots are free
 	fifo       bool    // one customer for the queues, so that they are not fair
 
 	mostInFlight int
@@ -145,8 +146,8 @@
 			buckets = append(buckets, share.NewBucket(share.PlanOf(c.rate, c.burst, m.entries), -time.Hour, 0))
 		}
 		var queues []*admit.Queue
-		for _, s := range m.services {
-			queues = append(queues, admit.NewQueue(admit.BoundsOf(int(m.overcommit*float64(s.slots)/float64(m.entries))+1, maxInFlight)))
+		for i := range m.services {
+			queues = append(queues, admit.NewQueue(m.boundsOf(i)))
 		}
 		m.waiting = append(m.waiting, make([][]*callModel, len(m.services)))
 		m.buckets, m.queues = append(m.buckets, buckets), append(m.queues, queues)
@@ -196,6 +197,7 @@
 		name = "all"
 	}
 	queue := m.queues[call.entry][c.service]
+	m.widen(queue, c.service)
 	ticket, verdict, _ := queue.Arrive(m.now, name, c.priority, m.now+callDeadline)
 	if verdict == admit.Refuse {
 		m.refused[call.customer]++
@@ -212,6 +214,21 @@
 	*waiting = append(*waiting, call)
 }
 
+// widen sets a full queue's bounds by the free slots, as an entry does.
+func (m *fleetModel) widen(queue *admit.Queue, service int) {
+	bounds := m.boundsOf(service)
+	if m.reports && queue.Running() >= bounds.Running {
+		bounds = bounds.WithFree(queue.Running(), m.free[service], maxInFlight)
+	}
+	if queue.Bounds() != bounds {
+		queue.SetBounds(m.now, bounds)
+	}
+}
+
+func (m *fleetModel) boundsOf(service int) admit.Bounds {
+	return admit.BoundsOf(int(m.overcommit*float64(m.services[service].slots)/float64(m.entries))+1, maxInFlight)
+}
+
 // send gives a call to its service; it runs when a slot is free.
 func (m *fleetModel) send(call *callModel) {
 	call.started = m.now
--- a/bench/limits/scenarios.go
+++ b/bench/limits/scenarios.go
@@ -21,7 +21,7 @@
 	// burstTime is the time in which the rate makes up a burst.
 	burstTime = 500 * time.Millisecond
 	// overcommit is that of the entries' admission.
-	overcommit = 4
+	overcommit = 2
 )
 
 // noisyName is the customer that becomes noisy.
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -50,7 +50,11 @@
 	if refusal.Reason != "" {
 		return nil, refuse(shareStatus(refusal.Reason), string(refusal.Reason), refusal.RetryAfter)
 	}
-	leave, answer := l.queues.enter(ctx, req, allowance.Priority, l.boundsOf(snapshot, req.Service))
+	bounds := l.boundsOf(snapshot, req.Service)
+	widen := func(running int) admit.Bounds {
+		return bounds.WithFree(running, l.freeSlots(snapshot, req.Service), l.most)
+	}
+	leave, answer := l.queues.enter(ctx, req, allowance.Priority, bounds, widen)
 	if answer != nil {
 		pass.Refund()
 		return nil, answer
@@ -69,9 +73,9 @@
 }
 
 // overcommit is how many times the slots of a service all entries together may
-// have in flight, so that an entry with more than its part of the calls can
-// still use slots that the others leave free.
-const overcommit = 4
+// have in flight by their parts. What is beyond the slots waits at the servers,
+// where no fair queue orders it.
+const overcommit = 2
 
 // boundsOf returns the calls of a service that this entry takes.
 func (l *Limits) boundsOf(snapshot *view.Snapshot, service string) admit.Bounds {
@@ -84,6 +88,20 @@
 	return admit.BoundsOf(max(places, slots), l.most)
 }
 
+// freeSlots returns the slots of a service that its servers' latest reports leave
+// free.
+func (l *Limits) freeSlots(snapshot *view.Snapshot, service string) int {
+	slots := snapshot.Allowances.Services[service].Slots
+	now := l.clock.Now()
+	free := 0.0
+	for _, s := range snapshot.Services[service] {
+		if c, ok := s.Candidate(now, slots); ok {
+			free += max(float64(slots)-c.Others-float64(c.InFlight), 0)
+		}
+	}
+	return int(free)
+}
+
 // refuse returns a refusal that says not-run, and counts it.
 func refuse(status int, reason string, retryAfter time.Duration) *call.Answer {
 	metrics.GetOrCreateCounter(`baobab_refused_total{reason="` + reason + `"}`).Inc()
--- a/internal/dispatch/queues.go
+++ b/internal/dispatch/queues.go
@@ -37,9 +37,13 @@
 }
 
 // enter takes a place at the service, for which the call may wait, and returns
-// the function that leaves it, or a refusal.
-func (s *queues) enter(ctx context.Context, req *call.Request, priority int, bounds admit.Bounds) (func(), *call.Answer) {
+// the function that leaves it, or a refusal. When all places are taken, widen
+// returns the bounds by what the servers report.
+func (s *queues) enter(ctx context.Context, req *call.Request, priority int, bounds admit.Bounds, widen func(running int) admit.Bounds) (func(), *call.Answer) {
 	q := s.of(req.Service, bounds)
+	if running := q.running(); running >= bounds.Running {
+		bounds = widen(running)
+	}
 	ticket, verdict, wait := q.arrive(req, priority, bounds)
 	switch verdict {
 	case admit.Run:
@@ -59,6 +63,12 @@
 // minRetryAfter is the least advice given with a refusal for load.
 const minRetryAfter = 50 * time.Millisecond
 
+func (q *queue) running() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.policy.Running()
+}
+
 func (q *queue) arrive(req *call.Request, priority int, bounds admit.Bounds) (*admit.Ticket, admit.Verdict, time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/internal/policy/admit/queue.go
+++ b/internal/policy/admit/queue.go
@@ -65,6 +65,14 @@
 	return Bounds{Running: running, Waiting: min(max(waitingPerPlace*running, minWaiting), part)}
 }
 
+// WithFree returns the bounds of an entry whose calls fill its part while the
+// servers report free slots. It takes half of them, so that two entries which see
+// the same ones don't take them twice.
+func (b Bounds) WithFree(running, free, most int) Bounds {
+	b.Running = max(b.Running, min(running+free/2, max(most/serviceShare, 1)))
+	return b
+}
+
 // Queue holds one service's calls at one entry. It is not safe for concurrent
 // use.
 type Queue struct {
@@ -158,6 +166,9 @@
 // Bounds returns the bounds in force.
 func (q *Queue) Bounds() Bounds { return q.bounds }
 
+// Running returns the number of calls that run.
+func (q *Queue) Running() int { return q.running }
+
 // Waiting returns the number of calls that wait.
 func (q *Queue) Waiting() int { return q.waiting }
 
