--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -26,6 +26,8 @@
 	Servers map[string][]ServerOptions
 	// Plans and Allowances are the operators' lists; the samples if nil.
 	Plans, Allowances []byte
+	// CallersSettings holds further lines of each entry's [callers] table.
+	CallersSettings string
 	// PlatformFor returns the configuration service of the entry with the given
 	// index, or nil for the fleet's own. The caller publishes its lists.
 	PlatformFor func(entry int) *Platform
@@ -102,6 +104,7 @@
 		if err != nil {
 			return err
 		}
+		e.CallersSettings = f.options.CallersSettings
 		f.Entries = append(f.Entries, e)
 	}
 	f.publishAll()
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -14,6 +14,7 @@
 	"github.com/baobabstack/baobabstack/internal/dispatch"
 	"github.com/baobabstack/baobabstack/internal/lists"
 	"github.com/baobabstack/baobabstack/internal/logs"
+	"github.com/baobabstack/baobabstack/internal/memory"
 	"github.com/baobabstack/baobabstack/internal/settings"
 	"github.com/baobabstack/baobabstack/internal/supervisor/admin"
 	"github.com/baobabstack/baobabstack/internal/supervisor/callers"
@@ -39,12 +40,11 @@
 	if err != nil {
 		return err
 	}
-	engine := nbhttp.NewEngine(nbhttp.Config{
-		Name: "servers", ReadLimit: s.Callers.MaxBodyBytes + 1<<16, MaxHTTPBodySize: s.Callers.MaxBodyBytes,
-		ServerExecutor: func(f func()) { go f() }, ClientExecutor: func(f func()) { go f() },
-	})
-	if err := engine.Start(); err != nil {
-		return errors.Wrap(err, "supervisor: start the servers' engine")
+	budget := memory.NewBudget(s.Callers.MemoryBytes)
+	budget.CountHTTP()
+	engine, err := startEngine(s.Callers.MaxBodyBytes)
+	if err != nil {
+		return err
 	}
 	defer engine.Stop()
 
@@ -55,12 +55,11 @@
 	links := peers.NewLinks()
 	forwarder := peers.NewForwarder(links, clock.Boot{}, s.Callers.MaxBodyBytes)
 	tickets := dispatch.NewTickets(s.Entry.ID, s.Callers.MaxInFlight, holder, clock.Boot{}, forwarder)
-	dispatcher := dispatch.New(dispatch.NewLimits(holder, clock.Boot{}, book), dispatch.NewAttempts(holder, clock.Boot{}), tickets)
-	handler := callers.NewHandler(holder, clock.Boot{}, dispatcher, s.Callers.MaxInFlight, tickets)
+	dispatcher := dispatch.New(dispatch.NewLimits(holder, clock.Boot{}, book, s.Callers.MaxInFlight), dispatch.NewAttempts(holder, clock.Boot{}), tickets)
+	handler := callers.NewHandler(holder, clock.Boot{}, dispatcher, s.Callers.MaxInFlight, tickets, budget)
 	owned := peers.NewOwned(holder, clock.Boot{}, dispatcher)
 	peerService := peers.NewService(s.Peers.Address, holder, ctl, links, owned, s.Callers.MaxBodyBytes)
 	peerService.SetBook(book)
-	borrower := shares.NewService(book, holder, links, clock.Boot{}, func() bool { return ctl.Send(control.SharesUsable{}) })
 
 	root := suture.New("entry", suture.Spec{EventHook: func(e suture.Event) { log.Warnf("%s", e) }})
 	root.Add(ctl)
@@ -68,22 +67,37 @@
 		root.Add(configuration.NewWatcher(name, s.Configuration.URL, holder, ctl))
 	}
 	root.Add(peerService)
-	root.Add(borrower)
+	root.Add(shares.NewService(book, holder, links, clock.Boot{}, func() bool { return ctl.Send(control.SharesUsable{}) }))
 	root.Add(admin.NewService(s.Admin.Address, holder))
 	root.Add(callers.NewService(s.Callers.Address, s.Callers.MaxBodyBytes, handler))
 
+	runTree(ctx, root, log, func() { drain(ctl, log, handler, tickets) })
+	flushCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), flushTimeout)
+	defer cancel()
+	return stopTracing(flushCtx)
+}
+
+// runTree runs the tree until the context ends and stops it after the drain.
+func runTree(ctx context.Context, root *suture.Supervisor, log logs.Logger, drain func()) {
 	treeCtx, stopTree := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopTree()
 	done := root.ServeBackground(treeCtx)
 	<-ctx.Done()
-	drain(ctl, log, handler, tickets)
+	drain()
 	stopTree()
 	if err := <-done; err != nil && !errors.Is(err, context.Canceled) {
 		log.Errorf("the tree ended: %v", err)
 	}
-	flushCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), flushTimeout)
-	defer cancel()
-	return stopTracing(flushCtx)
+}
+
+// startEngine starts the engine of the connections to servers.
+func startEngine(maxBodyBytes int) (*nbhttp.Engine, error) {
+	engine := nbhttp.NewEngine(nbhttp.Config{
+		Name: "servers", ReadLimit: maxBodyBytes + 1<<16, MaxHTTPBodySize: maxBodyBytes,
+		ServerExecutor: func(f func()) { go f() }, ClientExecutor: func(f func()) { go f() },
+	})
+	err := engine.Start()
+	return engine, errors.Wrap(err, "supervisor: start the servers' engine")
 }
 
 // waiter is a part with calls in flight.
