--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 # Commands of the project; see README.md.
 ONCE ?=
 SHORT ?=
+MEASURES ?=
 BIN := bin
 TOOLS := $(CURDIR)/$(BIN)/tools
 GOLANGCI_VERSION := v2.15.0
@@ -33,12 +34,12 @@
 
 generate:
 	go -C tools build -o $(TOOLS)/ google.golang.org/protobuf/cmd/protoc-gen-go google.golang.org/grpc/cmd/protoc-gen-go-grpc
-	PATH=$(TOOLS):$$PATH protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative internal/peerwire/peers.proto
+	PATH=$(TOOLS):$$PATH protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative internal/peerwire/*.proto
 
 .PHONY: bench prove mutants
 
 bench: build
-	$(BIN)/bench $(if $(SHORT),--short)
+	$(BIN)/bench $(if $(SHORT),--short) $(MEASURES)
 
 prove: build
 	$(BIN)/prove $(if $(SHORT),--short)
