Stop an entry in steps that cut no call

Cause: the stop sent StopRequested without looking whether the queue took it, waited on a WaitGroup that a late request could still raise from zero, refused calls at once although the balancer lags, and closed connections with answers unsent. A refused request with a ticket was told not-run although an earlier sending may have run.

Change: readiness fails at once and each answer ends its connection; calls are taken for stop.lame_duck more; then StopRequested is sent until it is published, and the entry waits until each request is answered in full, up to stop.drain. Waiting polls counters of the listener and the tickets in place of a WaitGroup. Timeouts of requests, answers and idle connections are settings. A refusal before the parser says unknown if the request carries a ticket, or if its head came too slowly to tell.

--- a/internal/dispatch/tickets.go
+++ b/internal/dispatch/tickets.go
@@ -28,7 +28,6 @@
 	ticketKeyBytes    = 32
 	// answerOverhead is the memory of a kept answer beside its body, in bytes.
 	answerOverhead = 512
-	waitEvery      = 10 * time.Millisecond
 )
 
 // runFunc admits and runs a call.
@@ -74,14 +73,8 @@
 	return t.owner.Mint(customer, t.clock.Now())
 }
 
-// Wait returns when no call with a ticket of this entry runs.
-func (t *Tickets) Wait() {
-	for t.running() > 0 {
-		time.Sleep(waitEvery)
-	}
-}
-
-func (t *Tickets) running() int {
+// Busy returns the number of calls that run with tickets of this entry.
+func (t *Tickets) Busy() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return len(t.flights)
--- a/internal/httpserver/answer.go
+++ b/internal/httpserver/answer.go
@@ -95,10 +95,10 @@
 	return a
 }
 
-func refusalBytes(r *refusal) []byte {
+func refusalBytes(r *refusal, o outcome.Outcome) []byte {
 	var retryAfter time.Duration
 	if r.status == http.StatusServiceUnavailable {
 		retryAfter = time.Second
 	}
-	return refused(call.Refusal(outcome.NotRun, r.status, r.reason, retryAfter)).bytes(http.MethodGet, true)
+	return refused(call.Refusal(o, r.status, r.reason, retryAfter)).bytes(http.MethodGet, true)
 }
--- a/internal/httpserver/guard.go
+++ b/internal/httpserver/guard.go
@@ -1,9 +1,13 @@
 package httpserver
 
 import (
+	"bytes"
 	"time"
 
 	"github.com/lesismal/nbio/nbhttp"
+
+	"github.com/baobabstack/baobabstack/internal/call"
+	"github.com/baobabstack/baobabstack/internal/policy/outcome"
 )
 
 type part int
@@ -24,6 +28,7 @@
 	left   int // bytes of the body with a length
 	body   int // bytes of the body held so far
 	close  bool
+	ticket bool // the request carries a ticket, or may
 	done   bool // no more bytes are taken
 }
 
@@ -38,6 +43,7 @@
 	for len(data) > 0 && !c.guard.done {
 		n, r := c.step(data)
 		if r != nil {
+			c.guard.ticket = c.guard.ticket || carriesTicket(c.guard.head, data)
 			c.refuse(r)
 			return nil
 		}
@@ -84,7 +90,7 @@
 	if r != nil {
 		return 0, r
 	}
-	g.close = f.close
+	g.close, g.ticket = f.close, f.ticket
 	if f.chunked || f.length > 0 {
 		c.beginBody(f, len(data) > n)
 		return n, c.pass(head)
@@ -141,7 +147,7 @@
 	}
 	g := &c.guard
 	c.push(request{body: g.body, close: g.close})
-	g.part, g.body, g.done = inHead, 0, g.close
+	g.part, g.body, g.ticket, g.done = inHead, 0, false, g.close
 	return nil
 }
 
@@ -152,8 +158,13 @@
 }
 
 // refuse answers a request that is not accepted, after the answers to those
-// before it, and ends the connection.
+// before it, and ends the connection. It claims nothing about earlier sendings of
+// a call with a ticket: only the ticket's owner may say that it was not run.
 func (c *conn) refuse(r *refusal) {
+	claim := outcome.NotRun
+	if c.guard.ticket {
+		claim = outcome.Unknown
+	}
 	c.guard.done = true
 	c.stopTimer()
 	c.server.budget.release(c.guard.body)
@@ -162,12 +173,21 @@
 	c.push(request{close: true})
 	c.nbc.Execute(func() {
 		if _, ok := c.next(); ok {
-			c.send(refusalBytes(r), true)
+			c.send(refusalBytes(r, claim), true)
 			c.answered()
 		}
 	})
 }
 
+// carriesTicket reports whether the bytes of a refused head, which came in two
+// pieces, name a ticket.
+func carriesTicket(first, second []byte) bool {
+	head := bytes.ToLower(append(bytes.Clone(first), second[:min(len(second), maxHeadBytes)]...))
+	return bytes.Contains(head, ticketName)
+}
+
+var ticketName = bytes.ToLower([]byte(call.HeaderTicket))
+
 // watchSender bounds the time that a request takes to arrive.
 func (c *conn) watchSender() {
 	if !c.guard.started() || c.guard.done {
@@ -183,6 +203,7 @@
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		if c.timer == timer && !c.guard.done {
+			c.guard.ticket = c.guard.ticket || c.guard.part == inHead
 			c.refuse(refuseSlow)
 		}
 	})
--- a/internal/httpserver/head.go
+++ b/internal/httpserver/head.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 
+	"github.com/baobabstack/baobabstack/internal/call"
 	"github.com/baobabstack/baobabstack/internal/defect"
 )
 
@@ -24,6 +25,8 @@
 	expectContinue bool
 	// close says that the connection ends after the answer.
 	close bool
+	// ticket says that the request carries a ticket.
+	ticket bool
 }
 
 var (
@@ -222,6 +225,7 @@
 // and the second ignored.
 func (c *headChecker) once(name []byte) *refusal {
 	key := http.CanonicalHeaderKey(string(name))
+	c.framing.ticket = c.framing.ticket || key == call.HeaderTicket
 	if c.single[key] {
 		return refuseRepeated
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,8 +7,10 @@
 	"net/netip"
 	"net/url"
 	"os"
+	"time"
 
 	"github.com/pelletier/go-toml/v2"
+	"github.com/pkg/errors"
 
 	"github.com/baobabstack/baobabstack/internal/fault"
 	"github.com/baobabstack/baobabstack/internal/lists"
@@ -30,6 +32,27 @@
 	Tracing Tracing `toml:"tracing"`
 	// Log configures the log.
 	Log Log `toml:"log"`
+	// Stop configures the graceful stop.
+	Stop Stop `toml:"stop"`
+}
+
+// Stop configures the graceful stop.
+type Stop struct {
+	// LameDuck is how long calls are still taken after readiness fails, so that
+	// the platform's balancer can notice. Default 2 s.
+	LameDuck Duration `toml:"lame_duck"`
+	// Drain bounds the time that calls in flight have after that. Default 30 s.
+	Drain Duration `toml:"drain"`
+}
+
+// Duration is a time span written like "2s".
+type Duration struct{ time.Duration }
+
+// UnmarshalText parses a time span.
+func (d *Duration) UnmarshalText(text []byte) error {
+	var err error
+	d.Duration, err = time.ParseDuration(string(text))
+	return errors.WithStack(err)
 }
 
 // Entry identifies an entry.
@@ -64,6 +87,15 @@
 	MemoryBytes int `toml:"memory_bytes"`
 	// MaxInFlight bounds the calls in flight. Default 4096.
 	MaxInFlight int `toml:"max_in_flight"`
+	// RequestTimeout bounds the time from a request's first byte to its last.
+	// Default 10 s.
+	RequestTimeout Duration `toml:"request_timeout"`
+	// WriteTimeout bounds the time that a caller takes to read an answer.
+	// Default 30 s.
+	WriteTimeout Duration `toml:"write_timeout"`
+	// IdleTimeout bounds the time between two requests on a connection. Default
+	// 2 min.
+	IdleTimeout Duration `toml:"idle_timeout"`
 	// TLS enables TLS towards callers.
 	TLS TLS `toml:"tls"`
 }
@@ -105,6 +137,13 @@
 	defaultMaxBodyBytes = 1 << 20
 	defaultMemoryBytes  = 64 << 20
 	defaultMaxInFlight  = 4096
+
+	defaultRequestTimeout = 10 * time.Second
+	defaultWriteTimeout   = 30 * time.Second
+	defaultIdleTimeout    = 2 * time.Minute
+	defaultLameDuck       = 2 * time.Second
+	defaultDrain          = 30 * time.Second
+	maxLameDuck           = time.Minute
 )
 
 // Load reads and checks a settings file. All faults found are returned; each
@@ -120,8 +159,12 @@
 // Parse checks the text of a settings file. The file name is used in faults only.
 func Parse(file string, data []byte) (*Settings, []error) {
 	s := &Settings{
-		Callers: Callers{MaxBodyBytes: defaultMaxBodyBytes, MemoryBytes: defaultMemoryBytes, MaxInFlight: defaultMaxInFlight},
-		Log:     Log{Level: "info"},
+		Callers: Callers{
+			MaxBodyBytes: defaultMaxBodyBytes, MemoryBytes: defaultMemoryBytes, MaxInFlight: defaultMaxInFlight,
+			RequestTimeout: Duration{defaultRequestTimeout}, WriteTimeout: Duration{defaultWriteTimeout}, IdleTimeout: Duration{defaultIdleTimeout},
+		},
+		Stop: Stop{LameDuck: Duration{defaultLameDuck}, Drain: Duration{defaultDrain}},
+		Log:  Log{Level: "info"},
 	}
 	decoder := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields()
 	if err := decoder.Decode(s); err != nil {
@@ -160,6 +203,13 @@
 	if s.Tracing.Endpoint != "" {
 		c.url("tracing.endpoint", s.Tracing.Endpoint)
 	}
+	c.duration("callers.request_timeout", s.Callers.RequestTimeout)
+	c.duration("callers.write_timeout", s.Callers.WriteTimeout)
+	c.duration("callers.idle_timeout", s.Callers.IdleTimeout)
+	c.duration("stop.drain", s.Stop.Drain)
+	if s.Stop.LameDuck.Duration < 0 || s.Stop.LameDuck.Duration > maxLameDuck {
+		c.add("stop.lame_duck", "is "+s.Stop.LameDuck.String(), "give a duration from 0s to "+maxLameDuck.String())
+	}
 	c.tls("callers.tls", s.Callers.TLS, false)
 	c.tls("peers.tls", s.Peers.TLS, true)
 	switch s.Log.Level {
@@ -181,6 +231,12 @@
 	}
 }
 
+func (c *checker) duration(key string, value Duration) {
+	if value.Duration <= 0 {
+		c.add(key, "is "+value.String(), "give a duration above 0s, like 10s")
+	}
+}
+
 func (c *checker) address(key, value string) {
 	if _, err := netip.ParseAddrPort(value); err != nil {
 		c.add(key, fmt.Sprintf("%q is not an IP address and port", value), "write it like 10.0.0.1:8080")
--- a/internal/supervisor/admin/admin.go
+++ b/internal/supervisor/admin/admin.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -18,9 +19,13 @@
 type Service struct {
 	address string
 	holder  *view.Holder
+	unready atomic.Bool
 	log     logs.Logger
 }
 
+// SetUnready makes the readiness check fail from now on.
+func (s *Service) SetUnready() { s.unready.Store(true) }
+
 // NewService returns the admin service.
 func NewService(address string, holder *view.Holder) *Service {
 	return &Service{address: address, holder: holder, log: logs.For("admin")}
@@ -50,7 +55,7 @@
 }
 
 func (s *Service) ready(w http.ResponseWriter, _ *http.Request) {
-	if !s.holder.Load().Ready {
+	if s.unready.Load() || !s.holder.Load().Ready {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/supervisor/callers/handler.go
+++ b/internal/supervisor/callers/handler.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"go.opentelemetry.io/otel/trace"
@@ -30,13 +29,12 @@
 // Handler turns HTTP requests of the form /{service}/{operation}[/...] into
 // calls.
 type Handler struct {
-	holder   *view.Holder
-	clock    clock.Clock
-	next     Caller
-	inFlight sync.WaitGroup
-	slots    chan struct{}
-	tickets  *ticketOffice
-	memory   *memoryGate
+	holder  *view.Holder
+	clock   clock.Clock
+	next    Caller
+	slots   chan struct{}
+	tickets *ticketOffice
+	memory  *memoryGate
 }
 
 // NewHandler returns a handler that has at most maxInFlight calls in flight and
@@ -48,13 +46,8 @@
 	}
 }
 
-// Wait returns when no call is in flight.
-func (h *Handler) Wait() { h.inFlight.Wait() }
-
 // ServeHTTP answers one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	h.inFlight.Add(1)
-	defer h.inFlight.Done()
 	service, operation := splitPath(r.URL.Path)
 	ctx, span, traceID := tracing.StartCall(r.Context(), r.Header, service, operation)
 	answer := h.answer(ctx, r, service, operation)
--- a/internal/supervisor/callers/service.go
+++ b/internal/supervisor/callers/service.go
@@ -2,23 +2,30 @@
 
 import (
 	"context"
+	"sync/atomic"
 
 	"github.com/baobabstack/baobabstack/internal/httpserver"
 	"github.com/baobabstack/baobabstack/internal/logs"
+	"github.com/baobabstack/baobabstack/internal/settings"
 )
 
 // Service runs the callers' listener under supervision.
 type Service struct {
-	options httpserver.Options
-	handler *Handler
-	log     logs.Logger
+	options  httpserver.Options
+	log      logs.Logger
+	server   atomic.Pointer[httpserver.Server]
+	draining atomic.Bool
 }
 
 // NewService returns the service of a handler.
-func NewService(address string, maxBodyBytes int, h *Handler) *Service {
+func NewService(s settings.Callers, h *Handler) *Service {
 	return &Service{
-		options: httpserver.Options{Name: "callers", Address: address, MaxBodyBytes: maxBodyBytes, Handler: h},
-		handler: h, log: logs.For("callers"),
+		options: httpserver.Options{
+			Name: "callers", Address: s.Address, Handler: h,
+			MaxBodyBytes: s.MaxBodyBytes, MemoryBytes: s.MemoryBytes,
+			RequestTimeout: s.RequestTimeout.Duration, WriteTimeout: s.WriteTimeout.Duration, IdleTimeout: s.IdleTimeout.Duration,
+		},
+		log: logs.For("callers"),
 	}
 }
 
@@ -28,8 +35,29 @@
 	if err != nil {
 		return err
 	}
+	s.server.Store(server)
+	if s.draining.Load() {
+		server.Drain()
+	}
 	s.log.Infof("listen on %s", server.Address())
 	<-ctx.Done()
+	s.server.Store(nil)
 	server.Stop()
 	return ctx.Err()
 }
+
+// Drain makes each answer from now on the last one of its connection.
+func (s *Service) Drain() {
+	s.draining.Store(true)
+	if server := s.server.Load(); server != nil {
+		server.Drain()
+	}
+}
+
+// Busy returns the number of requests that are not answered in full.
+func (s *Service) Busy() int {
+	if server := s.server.Load(); server != nil {
+		return server.Busy()
+	}
+	return 0
+}
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -27,10 +27,8 @@
 	"github.com/baobabstack/baobabstack/internal/view"
 )
 
-const (
-	drainTimeout = 30 * time.Second
-	flushTimeout = 2 * time.Second
-)
+// flushTimeout bounds the export of the last spans.
+const flushTimeout = 2 * time.Second
 
 // Run runs an entry until the context ends, then stops it gracefully: no new
 // calls, calls in flight end, then the listeners close.
@@ -68,10 +66,13 @@
 	}
 	root.Add(peerService)
 	root.Add(shares.NewService(book, holder, links, clock.Boot{}, func() bool { return ctl.Send(control.SharesUsable{}) }))
-	root.Add(admin.NewService(s.Admin.Address, holder))
-	root.Add(callers.NewService(s.Callers.Address, s.Callers.MaxBodyBytes, handler))
+	operators := admin.NewService(s.Admin.Address, holder)
+	root.Add(operators)
+	front := callers.NewService(s.Callers, handler)
+	root.Add(front)
 
-	runTree(ctx, root, log, func() { drain(ctl, log, handler, tickets) })
+	leave := &stopper{settings: s.Stop, control: ctl, holder: holder, unready: operators.SetUnready, callers: front, owned: tickets, log: log}
+	runTree(ctx, root, log, leave.stop)
 	flushCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), flushTimeout)
 	defer cancel()
 	return stopTracing(flushCtx)
@@ -99,24 +100,3 @@
 	err := engine.Start()
 	return engine, errors.Wrap(err, "supervisor: start the servers' engine")
 }
-
-// waiter is a part with calls in flight.
-type waiter interface{ Wait() }
-
-// drain stops new calls and waits for those in flight.
-func drain(ctl *control.Control, log logs.Logger, parts ...waiter) {
-	ctl.Send(control.StopRequested{})
-	idle := make(chan struct{})
-	go func() {
-		for _, part := range parts {
-			part.Wait()
-		}
-		close(idle)
-	}()
-	select {
-	case <-idle:
-		log.Infof("all calls have ended")
-	case <-time.After(drainTimeout):
-		log.Warnf("calls are still in flight after %s", drainTimeout)
-	}
-}
