--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -36,6 +36,8 @@
 	io := streams{out: out, err: errOut}
 	add(parser, "entry", "Run an entry", "Runs an entry until SIGTERM or SIGINT, then stops it gracefully.", &entryCommand{streams: io})
 	add(parser, "check", "Check settings and lists", "Checks files without running anything. Exit status 2 and a line for each fault: file, line, key and remedy.", &checkCommand{streams: io})
+	add(parser, "status", "Show an entry's state", statusHelp, &statusCommand{streams: io})
+	add(parser, "explain", "Show why an entry decided what it did", explainHelp, &explainCommand{streams: io})
 	add(parser, "version", "Print the version", "Prints the version of the program.", &versionCommand{streams: io})
 	add(parser, "hash-key", "Hash a customer's key", "Prints the key_hash of a key read from standard input.", &hashKeyCommand{streams: io})
 	return status(parser, args, io)
--- a/internal/standin/cluster.go
+++ b/internal/standin/cluster.go
@@ -25,6 +25,8 @@
 	// Callers, Peers and Admin are the entry's addresses.
 	Callers, Peers, Admin string
 
+	// TracingEndpoint is the endpoint for spans; none if empty.
+	TracingEndpoint string
 	// CallersSettings holds further lines of the settings' [callers] table.
 	CallersSettings string
 
@@ -72,7 +74,9 @@
 address = %q
 [configuration]
 url = %q
-`, e.ID, e.Callers, e.CallersSettings, e.Peers, e.Admin, platformURL)
+[tracing]
+endpoint = %q
+`, e.ID, e.Callers, e.CallersSettings, e.Peers, e.Admin, platformURL, e.TracingEndpoint)
 }
 
 // Start writes the settings file into dir and runs the binary. Its log goes to
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -26,6 +26,8 @@
 	Servers map[string][]ServerOptions
 	// Plans and Allowances are the operators' lists; the samples if nil.
 	Plans, Allowances []byte
+	// TracingEndpoint is where entries export spans; nowhere if empty.
+	TracingEndpoint string
 	// CallersSettings holds further lines of each entry's [callers] table.
 	CallersSettings string
 	// PlatformFor returns the configuration service of the entry with the given
@@ -105,6 +107,7 @@
 			return err
 		}
 		e.CallersSettings = f.options.CallersSettings
+		e.TracingEndpoint = f.options.TracingEndpoint
 		f.Entries = append(f.Entries, e)
 	}
 	f.publishAll()
--- a/internal/supervisor/admin/admin.go
+++ b/internal/supervisor/admin/admin.go
@@ -39,6 +39,7 @@
 	mux.HandleFunc("GET /healthz", s.health)
 	mux.HandleFunc("GET /readyz", s.ready)
 	mux.HandleFunc("GET /status", s.status)
+	mux.HandleFunc("GET /journal", s.entries)
 	mux.HandleFunc("GET /metrics", s.metrics)
 	server, err := httpserver.Start(httpserver.Options{Name: "admin", Address: s.address, MaxBodyBytes: maxBodyBytes, Handler: mux})
 	if err != nil {
--- a/internal/supervisor/callers/handler.go
+++ b/internal/supervisor/callers/handler.go
@@ -50,7 +50,11 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	service, operation := splitPath(r.URL.Path)
 	ctx, span, traceID := tracing.StartCall(r.Context(), r.Header, service, operation)
+	begin := h.clock.Now()
+	callsInFlight.Inc()
+	defer callsInFlight.Dec()
 	answer := h.answer(ctx, r, service, operation)
+	countCall(h.holder.Load(), service, answer, h.clock.Now()-begin)
 	h.write(w, span, traceID, answer)
 }
 
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -75,7 +75,10 @@
 	runTree(ctx, root, log, leave.stop)
 	flushCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), flushTimeout)
 	defer cancel()
-	return stopTracing(flushCtx)
+	if err := stopTracing(flushCtx); err != nil {
+		log.Warnf("the last spans are not exported: %v", err)
+	}
+	return nil
 }
 
 // runTree runs the tree until the context ends and stops it after the drain.
