Decide purely which versions of the lists come in force

Change: package adopt holds candidates of the operators' lists and puts the newest consistent pair in force, so both orders of editing work; a list that drops more than half of its customers, services or plans is refused unless [end] allows it. Platform lists that drop more than half of a service's live servers, or of the VMs, keep the missing ones until a second version says the same. A new entry asks its peers before lists of the service apply. Package readers chooses by rendezvous hashing who watches the service; the others get lists from peers and poll only when digests stay away. New versions are pushed to a few peers at once; digests and pulls from addresses outside the VM list cause no connection; control bytes are counted by method.

Ruled out: refusing a shrunk platform list (a real loss of servers would never apply) and judging shrinks again at each peer (entries that missed a version would stay behind for ever; a list that was compared once is passed on so).

Tests: property test over orders of arrival; tables for the guards; reads a second for 17 and 300 entries from the pure function.

--- a/internal/lists/allowances.go
+++ b/internal/lists/allowances.go
@@ -54,6 +54,9 @@
 	// Plans holds the allowances by plan and service. An allowance holds for
 	// each customer of the plan.
 	Plans map[string]map[string]Allowance
+	// AllowShrink lets the list drop more than half of the services or plans at
+	// once.
+	AllowShrink bool
 }
 
 type allowancesFile struct {
@@ -84,8 +87,9 @@
 }
 
 type allowancesEnd struct {
-	Services int `toml:"services"`
-	Plans    int `toml:"plans"`
+	Services    int  `toml:"services"`
+	Plans       int  `toml:"plans"`
+	AllowShrink bool `toml:"allow_shrink"`
 }
 
 const (
@@ -106,13 +110,16 @@
 	if err := checkAllowancesEnd(p, raw); err != nil {
 		return nil, []error{err}
 	}
-	list := &Allowances{Entries: raw.Entries, Services: map[string]Service{}, Plans: map[string]map[string]Allowance{}}
+	list := &Allowances{
+		Entries: raw.Entries, AllowShrink: raw.End.AllowShrink,
+		Services: make(map[string]Service), Plans: make(map[string]map[string]Allowance),
+	}
 	var faults []error
 	if raw.Entries < 1 || raw.Entries > maxEntries {
 		faults = append(faults, p.Fault("entries", fmt.Sprintf("is %d", raw.Entries), fmt.Sprintf("give the most entry VMs that run at any one time, 1 to %d", maxEntries)))
 	}
 	for _, name := range sortedKeys(raw.Services) {
-		service, errs := buildService(p, "services."+name, raw.Services[name])
+		service, errs := buildService(p, "services."+name, raw.Services[name], raw.Entries)
 		faults = append(faults, errs...)
 		list.Services[name] = service
 	}
@@ -146,13 +153,13 @@
 	return nil
 }
 
-func buildService(p Place, key string, raw serviceEntry) (Service, []error) {
+func buildService(p Place, key string, raw serviceEntry, entries int) (Service, []error) {
 	var faults []error
 	if raw.Slots < 1 {
 		faults = append(faults, p.Fault(key+".slots", fmt.Sprintf("is %d", raw.Slots), "give the calls that one server runs at a time, 1 or more"))
 	}
-	if raw.Connections < 1 {
-		faults = append(faults, p.Fault(key+".connections", fmt.Sprintf("is %d", raw.Connections), "give the connections that one server takes, 1 or more"))
+	if raw.Connections < max(entries, 1) {
+		faults = append(faults, p.Fault(key+".connections", fmt.Sprintf("is %d, below entries (%d)", raw.Connections, entries), "give at least one connection for each entry VM"))
 	}
 	if !(raw.ProbesPerSecond >= 0) || math.IsInf(raw.ProbesPerSecond, 0) {
 		faults = append(faults, p.Fault(key+".probes_per_second", "is not a number of 0 or more", "give the measuring budget of one server, in probes a second"))
--- a/internal/lists/plans.go
+++ b/internal/lists/plans.go
@@ -34,7 +34,9 @@
 type Plans struct {
 	// Customers holds every customer by key hash.
 	Customers map[KeyHash]Customer
-	lines     map[string]int
+	// AllowShrink lets the list drop more than half of the customers at once.
+	AllowShrink bool
+	lines       map[string]int
 }
 
 type plansFile struct {
@@ -48,7 +50,8 @@
 }
 
 type plansEnd struct {
-	Customers int `toml:"customers"`
+	Customers   int  `toml:"customers"`
+	AllowShrink bool `toml:"allow_shrink"`
 }
 
 // ParsePlans decodes and checks a plans list. The file name is used in faults
@@ -74,7 +77,11 @@
 }
 
 func buildPlans(p Place, raw plansFile) (*Plans, []error) {
-	plans := &Plans{Customers: make(map[KeyHash]Customer, len(raw.Customers)), lines: make(map[string]int)}
+	plans := &Plans{
+		Customers:   make(map[KeyHash]Customer, len(raw.Customers)),
+		AllowShrink: raw.End.AllowShrink,
+		lines:       make(map[string]int, len(raw.Customers)),
+	}
 	var faults []error
 	for _, name := range sortedKeys(raw.Customers) {
 		entry := raw.Customers[name]
--- /dev/null
+++ b/internal/policy/adopt/operators_test.go
@@ -0,0 +1,132 @@
+package adopt
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/baobabstack/baobabstack/internal/lists"
+)
+
+// plansOf returns a plans list with one customer of each plan.
+func plansOf(version uint64, plans ...string) Candidate[lists.Plans] {
+	list := &lists.Plans{Customers: make(map[lists.KeyHash]lists.Customer)}
+	for _, plan := range plans {
+		hash := lists.HashKey(plan)
+		list.Customers[hash] = lists.Customer{Name: "customer-" + plan, Plan: plan, KeyHash: hash}
+	}
+	return Candidate[lists.Plans]{Version: version, List: list}
+}
+
+// allowancesOf returns an allowances list that defines the plans.
+func allowancesOf(version uint64, plans ...string) Candidate[lists.Allowances] {
+	list := &lists.Allowances{Services: map[string]lists.Service{"stock": {}}, Plans: make(map[string]map[string]lists.Allowance)}
+	for _, plan := range plans {
+		list.Plans[plan] = nil
+	}
+	return Candidate[lists.Allowances]{Version: version, List: list}
+}
+
+func offered(candidates ...any) *Operators {
+	o := &Operators{}
+	for _, c := range candidates {
+		switch c := c.(type) {
+		case Candidate[lists.Plans]:
+			o.OfferPlans(c)
+		case Candidate[lists.Allowances]:
+			o.OfferAllowances(c)
+		}
+		for o.Settle() {
+		}
+	}
+	return o
+}
+
+func versions(o *Operators) (plans, allowances uint64) {
+	if c := o.Plans(); c != nil {
+		plans = c.Version
+	}
+	if c := o.Allowances(); c != nil {
+		allowances = c.Version
+	}
+	return plans, allowances
+}
+
+func TestEitherOrderOfEditsEndsTheSame(t *testing.T) {
+	// The second versions rename plan a to b: neither fits the other's first.
+	p1, a1, p2, a2 := plansOf(1, "a"), allowancesOf(1, "a"), plansOf(2, "b"), allowancesOf(2, "b")
+	p2.Compared, a2.Compared = true, true
+	for _, order := range [][]any{{p1, a1, p2, a2}, {p1, a1, a2, p2}, {p2, a2, p1, a1}, {a2, p1, p2, a1}, {a1, p2, p1, a2}} {
+		plans, allowances := versions(offered(order...))
+		assert.Equal(t, plans, uint64(2))
+		assert.Equal(t, allowances, uint64(2))
+	}
+	o := offered(p1, a1, p2)
+	plans, allowances := versions(o)
+	assert.Equal(t, plans, uint64(1))
+	assert.Equal(t, allowances, uint64(1))
+	waiting := o.PlansWaiting()
+	assert.Equal(t, waiting.Version, uint64(2))
+	assert.Assert(t, waiting.Partner)
+	assert.Assert(t, strings.Contains(waiting.Reason, `plan "b" is not in the allowances list`), waiting.Reason)
+}
+
+func TestShrinkNeedsPermission(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		next Candidate[lists.Plans]
+		want uint64
+	}{
+		{"half lost", plansOf(2, "a", "b"), 2},
+		{"more than half lost", plansOf(2, "a"), 1},
+		{"more than half renamed", plansOf(2, "a", "x", "y", "z"), 1},
+		{"compared elsewhere", func() Candidate[lists.Plans] { p := plansOf(2, "a"); p.Compared = true; return p }(), 2},
+		{"allowed", func() Candidate[lists.Plans] { p := plansOf(2, "a"); p.List.AllowShrink = true; return p }(), 2},
+	} {
+		o := offered(plansOf(1, "a", "b", "c", "d"), allowancesOf(1, "a", "b", "c", "d", "x", "y", "z"), c.next)
+		got, _ := versions(o)
+		assert.Equal(t, got, c.want, c.name)
+	}
+	o := offered(plansOf(1, "a"), allowancesOf(1, "a", "b", "c"), allowancesOf(2, "a"))
+	assert.Equal(t, o.AllowancesWaiting().Reason, "the list drops 2 of 3 plans at once; restore them or set allow_shrink = true in [end]")
+	// What was refused is judged again once an older version came in between.
+	assert.Assert(t, o.OfferAllowances(allowancesOf(3, "a", "b")))
+	o.Settle()
+	_, got := versions(o)
+	assert.Equal(t, got, uint64(3))
+}
+
+// Whatever arrives in whatever order, what is in force is consistent and no
+// version goes back.
+func TestInForceIsConsistentAndNeverGoesBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"a", "b", "c"}), 1, 3, rapid.ID[string])
+		o := &Operators{}
+		var lastPlans, lastAllowances uint64
+		for i := range rapid.IntRange(1, 20).Draw(t, "steps") {
+			version := rapid.Uint64Range(1, 8).Draw(t, "version")
+			some := names.Draw(t, fmt.Sprint("names", i))
+			if rapid.Bool().Draw(t, "plans") {
+				o.OfferPlans(plansOf(version, some...))
+			} else {
+				o.OfferAllowances(allowancesOf(version, some...))
+			}
+			for o.Settle() {
+			}
+			plans, allowances := versions(o)
+			if plans < lastPlans || allowances < lastAllowances {
+				t.Fatalf("went back from %d, %d to %d, %d", lastPlans, lastAllowances, plans, allowances)
+			}
+			lastPlans, lastAllowances = plans, allowances
+			if (plans == 0) != (allowances == 0) {
+				t.Fatalf("one list without the other: %d, %d", plans, allowances)
+			}
+			if plans > 0 && len(lists.CrossCheck("plans", o.Plans().List, o.Allowances().List)) > 0 {
+				t.Fatalf("plans %d and allowances %d are in force but not consistent", plans, allowances)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/policy/readers/readers_test.go
@@ -0,0 +1,81 @@
+package readers
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/baobabstack/baobabstack/internal/lists"
+)
+
+// serviceReads is what the configuration service takes, in reads a second.
+const serviceReads = 2000
+
+func fleet(n, dataCentres int) []lists.VM {
+	var vms []lists.VM
+	for i := range n {
+		vms = append(vms, lists.VM{
+			ID: fmt.Sprintf("vm-%d", i), Address: fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250),
+			DataCentre: fmt.Sprintf("dc-%d", i%dataCentres), State: lists.Live,
+		})
+	}
+	return vms
+}
+
+func TestReadsPerSecond(t *testing.T) {
+	// 17 entries all watch 4 lists; 300 entries in 10 data centres have 30
+	// readers. Each watch makes one read in 20 s.
+	assert.Equal(t, ReadsPerSecond(fleet(17, 3)), 17*4/20.0)
+	assert.Equal(t, ReadsPerSecond(fleet(300, 10)), 30*4/20.0)
+}
+
+// Without any digest every other entry polls; the sum stays inside the service's
+// rate for any fleet.
+func TestPollsStayInsideTheServiceRate(t *testing.T) {
+	for _, n := range []int{17, 33, 300, 3400, 100_000} {
+		reads := float64(n*len(lists.Names())) / PollEvery(n).Seconds()
+		assert.Assert(t, reads+ReadsPerSecond(fleet(n, 10)) < serviceReads, "%d entries: %f reads a second", n, reads)
+	}
+	assert.Equal(t, PollEvery(17), 5*time.Second)
+}
+
+func TestEachDataCentreHasReaders(t *testing.T) {
+	vms := fleet(300, 10)
+	chosen := Chosen(vms)
+	perDataCentre := make(map[string]int)
+	for _, vm := range vms {
+		if chosen[vm.Address] {
+			perDataCentre[vm.DataCentre]++
+		}
+		assert.Equal(t, Watches(vm.Address, vms), chosen[vm.Address])
+	}
+	assert.Equal(t, len(perDataCentre), 10)
+	for name, n := range perDataCentre {
+		assert.Equal(t, n, PerDataCentre, name)
+	}
+	assert.Assert(t, Watches("10.9.9.9:7000", fleet(32, 1)))
+	assert.Assert(t, !Watches("10.9.9.9:7000", vms))
+}
+
+// A reader that leaves is replaced by one other VM; all others keep their role.
+func TestOneReaderLeavesOneTakesOver(t *testing.T) {
+	vms := fleet(300, 10)
+	before := Chosen(vms)
+	for i := range vms {
+		if before[vms[i].Address] {
+			vms[i].State = lists.Leaving
+			break
+		}
+	}
+	after := Chosen(vms)
+	added := 0
+	for address := range after {
+		if !before[address] {
+			added++
+		}
+	}
+	assert.Equal(t, added, 1)
+	assert.Equal(t, len(after), len(before))
+}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -102,6 +102,7 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
+			w.Header().Set("X-Version", strconv.FormatUint(list.version, 10))
 			w.WriteHeader(http.StatusNotModified)
 			return
 		}
--- a/internal/supervisor/configuration/watch.go
+++ b/internal/supervisor/configuration/watch.go
@@ -3,7 +3,7 @@
 //
 // The protocol: GET {url}/v1/lists/{name}?after={version}&wait={seconds} answers
 // 200 with the list and its version in X-Version, or 304 when no newer version
-// came up within the wait.
+// came up within the wait; X-Version of a 304 is the version that is served.
 package configuration
 
 import (
@@ -20,6 +20,7 @@
 	"github.com/baobabstack/baobabstack/internal/fault"
 	"github.com/baobabstack/baobabstack/internal/lists"
 	"github.com/baobabstack/baobabstack/internal/logs"
+	"github.com/baobabstack/baobabstack/internal/policy/readers"
 	"github.com/baobabstack/baobabstack/internal/supervisor/control"
 	"github.com/baobabstack/baobabstack/internal/view"
 )
@@ -28,56 +29,115 @@
 const HeaderVersion = "X-Version"
 
 const (
-	watchWait   = 20 * time.Second
-	readTimeout = watchWait + 5*time.Second
+	readTimeout = readers.WatchWait + 5*time.Second
 	retryMin    = 200 * time.Millisecond
 	retryMax    = 5 * time.Second
+	roleEvery   = time.Second
 )
 
+// Source says where and on whose behalf lists are read.
+type Source struct {
+	// URL is the service's base URL.
+	URL string
+	// Self is the entry's peer address.
+	Self string
+	// DigestAge returns the time since peers last sent a current digest.
+	DigestAge func() time.Duration
+}
+
 // Watcher watches one list.
 type Watcher struct {
 	name    lists.Name
-	url     string
+	source  Source
 	holder  *view.Holder
 	control *control.Control
 	client  *http.Client
 	log     logs.Logger
+	last    uint64 // highest version read
 }
 
-// NewWatcher returns a watcher of one list at the service's base URL.
-func NewWatcher(name lists.Name, url string, holder *view.Holder, c *control.Control) *Watcher {
-	return &Watcher{name: name, url: url, holder: holder, control: c, client: &http.Client{Timeout: readTimeout}, log: logs.For("configuration")}
+// NewWatcher returns a watcher of one list.
+func NewWatcher(name lists.Name, source Source, holder *view.Holder, c *control.Control) *Watcher {
+	return &Watcher{name: name, source: source, holder: holder, control: c, client: &http.Client{Timeout: readTimeout}, log: logs.For("configuration")}
 }
 
-// Serve watches until the context ends. While the service fails it retries with
-// a growing, jittered pause.
+// Serve reads the list until the context ends, as the entry's role says. While
+// the service fails it retries with a growing, jittered pause.
 func (w *Watcher) Serve(ctx context.Context) error {
 	pause := retryMin
-	var last uint64
 	for ctx.Err() == nil {
-		after := max(last, w.holder.Load().Lists[w.name].Version)
-		version, err := w.poll(ctx, after)
-		if err == nil && version != 0 && version <= after {
-			err = fault.New(fault.List, string(w.name), fmt.Sprintf("the service sent version %d again", version), "check the service's replicas; the newer list stays in force")
-		}
-		if err == nil {
-			last = max(last, version)
-			pause = retryMin
+		updated := w.holder.Updated()
+		role := w.role()
+		if role == idle {
+			wait(ctx, updated, roleEvery)
 			continue
 		}
+		err := w.read(ctx, role)
 		if ctx.Err() != nil {
 			break
 		}
-		w.log.Warnf("%s: %v", w.name, err)
-		sleep(ctx, time.Duration(rand.Int64N(int64(pause)))+pause/2)
-		pause = min(2*pause, retryMax)
+		switch {
+		case err != nil:
+			w.log.Warnf("%s: %v", w.name, err)
+			sleep(ctx, jitter(pause))
+			pause = min(2*pause, retryMax)
+		case role == poll:
+			sleep(ctx, jitter(readers.PollEvery(len(w.holder.Load().VMs))))
+			pause = retryMin
+		default:
+			pause = retryMin
+		}
 	}
 	return ctx.Err()
 }
 
-// poll makes one read and returns the version that it brought, 0 if none.
-func (w *Watcher) poll(ctx context.Context, after uint64) (uint64, error) {
-	target := fmt.Sprintf("%s/v1/lists/%s?after=%d&wait=%d", w.url, w.name, after, int(watchWait.Seconds()))
+// role is what an entry does about a list.
+type role int
+
+const (
+	idle  role = iota // gets the list from peers
+	poll              // reads without waiting, because peers are silent
+	watch             // waits at the service for newer versions
+)
+
+// role returns idle for all but the VM list until that one is known, because the
+// role depends on it.
+func (w *Watcher) role() role {
+	vms := w.holder.Load().VMs
+	switch {
+	case vms == nil && w.name != lists.VMsName:
+		return idle
+	case vms == nil || readers.Watches(w.source.Self, vms):
+		return watch
+	case w.source.DigestAge() > readers.DigestBound:
+		return poll
+	default:
+		return idle
+	}
+}
+
+// read makes one read. A version that is not newer than the one asked for is an
+// error: the service is stale.
+func (w *Watcher) read(ctx context.Context, r role) error {
+	after := max(w.last, w.holder.Load().Lists[w.name].Version)
+	seconds := 0
+	if r == watch {
+		seconds = int(readers.WatchWait.Seconds())
+	}
+	version, err := w.get(ctx, after, seconds)
+	if err != nil {
+		return err
+	}
+	if version != 0 && version <= after {
+		return fault.New(fault.List, string(w.name), fmt.Sprintf("the service sent version %d again", version), "check the service's replicas; the newer list stays in force")
+	}
+	w.last = max(w.last, version)
+	return nil
+}
+
+// get makes one request and returns the version that it brought, 0 if none.
+func (w *Watcher) get(ctx context.Context, after uint64, seconds int) (uint64, error) {
+	target := fmt.Sprintf("%s/v1/lists/%s?after=%d&wait=%d", w.source.URL, w.name, after, seconds)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, http.NoBody)
 	if err != nil {
 		return 0, errors.WithStack(err)
@@ -89,6 +149,7 @@
 	defer res.Body.Close()
 	switch res.StatusCode {
 	case http.StatusNotModified:
+		w.seen(res)
 		return 0, nil
 	case http.StatusOK:
 		return w.receive(res)
@@ -97,6 +158,13 @@
 	}
 }
 
+// seen notes the version that a 304 names.
+func (w *Watcher) seen(res *http.Response) {
+	if version, err := strconv.ParseUint(res.Header.Get(HeaderVersion), 10, 64); err == nil {
+		w.control.Send(control.SourceSeen{Name: w.name, Version: version})
+	}
+}
+
 func (w *Watcher) receive(res *http.Response) (uint64, error) {
 	version, err := strconv.ParseUint(res.Header.Get(HeaderVersion), 10, 64)
 	if err != nil {
@@ -106,15 +174,26 @@
 	if err != nil {
 		return 0, errors.WithStack(err)
 	}
-	w.control.Send(control.ListArrived{Name: w.name, Version: version, Body: body, Source: "configuration"})
+	arrived := control.ListArrived{Name: w.name, Version: version, Body: body, Source: "configuration"}
+	if !w.control.Send(arrived) {
+		return 0, fault.New(fault.Internal, string(w.name), "the control queue is full", "the list is read again")
+	}
+	w.control.Send(control.SourceSeen{Name: w.name, Version: version})
 	return version, nil
 }
 
-func sleep(ctx context.Context, d time.Duration) {
+// jitter returns a time between half of d and one and a half of it.
+func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d) }
+
+func sleep(ctx context.Context, d time.Duration) { wait(ctx, nil, d) }
+
+// wait returns after d, when the context ends or when the channel is closed.
+func wait(ctx context.Context, done <-chan struct{}, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
+	case <-done:
 	case <-timer.C:
 	}
 }
--- a/internal/supervisor/control/control.go
+++ b/internal/supervisor/control/control.go
@@ -6,8 +6,10 @@
 	"context"
 	"sync/atomic"
 
+	"github.com/baobabstack/baobabstack/internal/journal"
 	"github.com/baobabstack/baobabstack/internal/lists"
 	"github.com/baobabstack/baobabstack/internal/logs"
+	"github.com/baobabstack/baobabstack/internal/policy/adopt"
 	"github.com/baobabstack/baobabstack/internal/supervisor/servers"
 	"github.com/baobabstack/baobabstack/internal/view"
 )
@@ -15,20 +17,16 @@
 // Event is something that changes control state.
 type Event interface{ apply(*Control) }
 
-// ListArrived says that a list came from the configuration service or a peer.
-type ListArrived struct {
-	// Name and Version identify the list.
-	Name    lists.Name
-	Version uint64
-	// Body is the list's text.
-	Body []byte
-	// Source says where it came from, for the log.
-	Source string
-}
-
 // StopRequested says that the entry takes no new calls from now on.
 type StopRequested struct{}
 
+// PeersAsked says that a new entry has asked its peers for newer lists, or that
+// the time for it is over. From then on lists of the configuration service apply.
+type PeersAsked struct {
+	// Answered is the number of peers that answered with lists.
+	Answered int
+}
+
 const queueLength = 256
 
 // Control is the control goroutine's state.
@@ -38,24 +36,31 @@
 	dropped  atomic.Uint64
 	holder   *view.Holder
 	registry *servers.Registry
+	journal  *journal.Journal
 	log      logs.Logger
 
-	inForce    map[lists.Name]view.List
-	refused    map[lists.Name]uint64
-	plans      *lists.Plans
-	allowances *lists.Allowances
-	servers    *lists.Servers
-	vms        *lists.VMs
-	leaving    bool
+	operators adopt.Operators
+	platform  platform
+	seen      map[lists.Name]uint64
+	invalid   map[lists.Name]view.Refusal
+	reported  map[lists.Name]view.Refusal
+	source    map[lists.Name]uint64
+	early     map[lists.Name]ListArrived
+	asked     bool
+	leaving   bool
 }
 
 // New returns a control for the entry with the given peer address.
-func New(self string, holder *view.Holder, registry *servers.Registry) *Control {
+func New(self string, holder *view.Holder, registry *servers.Registry, j *journal.Journal) *Control {
 	return &Control{
-		self: self, holder: holder, registry: registry, log: logs.For("control"),
-		events:  make(chan Event, queueLength),
-		inForce: make(map[lists.Name]view.List),
-		refused: make(map[lists.Name]uint64),
+		self: self, holder: holder, registry: registry, journal: j, log: logs.For("control"),
+		events:   make(chan Event, queueLength),
+		platform: newPlatform(),
+		seen:     make(map[lists.Name]uint64),
+		invalid:  make(map[lists.Name]view.Refusal),
+		reported: make(map[lists.Name]view.Refusal),
+		source:   make(map[lists.Name]uint64),
+		early:    make(map[lists.Name]ListArrived),
 	}
 }
 
@@ -91,72 +96,18 @@
 	c.publish()
 }
 
-func (e ListArrived) apply(c *Control) {
-	if e.Version <= c.inForce[e.Name].Version || e.Version <= c.refused[e.Name] {
+func (e PeersAsked) apply(c *Control) {
+	if c.asked {
 		return
 	}
-	if faults := c.accept(e); len(faults) > 0 {
-		c.refused[e.Name] = e.Version
-		for _, f := range faults {
-			c.log.Errorf("refused %s version %d from %s: %v", e.Name, e.Version, e.Source, f)
+	c.asked = true
+	c.log.Infof("%d peers answered with lists", e.Answered)
+	early := c.early
+	c.early = nil
+	for _, name := range lists.Names() {
+		if list, held := early[name]; held {
+			list.apply(c)
 		}
-		return
 	}
-	c.inForce[e.Name] = view.List{Version: e.Version, Body: e.Body}
-	c.log.Infof("%s version %d from %s is in force", e.Name, e.Version, e.Source)
 	c.publish()
 }
-
-// accept parses a list and keeps it if it has no fault.
-func (c *Control) accept(e ListArrived) []error {
-	file := string(e.Name)
-	var faults []error
-	switch e.Name {
-	case lists.PlansName:
-		var list *lists.Plans
-		if list, faults = lists.ParsePlans(file, e.Body); len(faults) == 0 {
-			c.plans = list
-		}
-	case lists.AllowancesName:
-		var list *lists.Allowances
-		if list, faults = lists.ParseAllowances(file, e.Body); len(faults) == 0 {
-			c.allowances = list
-		}
-	case lists.ServersName:
-		var list *lists.Servers
-		if list, faults = lists.ParseServers(file, e.Body); len(faults) == 0 {
-			c.servers = list
-		}
-	case lists.VMsName:
-		var list *lists.VMs
-		if list, faults = lists.ParseVMs(file, e.Body); len(faults) == 0 {
-			c.vms = list
-		}
-	}
-	return faults
-}
-
-func (c *Control) publish() {
-	s := &view.Snapshot{Plans: c.plans, Allowances: c.allowances, Leaving: c.leaving, Lists: make(map[lists.Name]view.List)}
-	for name, list := range c.inForce {
-		s.Lists[name] = list
-	}
-	if c.servers != nil && c.allowances != nil {
-		s.Services = c.registry.Apply(c.servers, c.allowances)
-	}
-	if c.vms != nil {
-		s.Peers = c.peers()
-	}
-	s.Ready = !c.leaving && c.plans != nil && s.Services != nil && c.vms != nil
-	c.holder.Store(s)
-}
-
-func (c *Control) peers() []lists.VM {
-	var peers []lists.VM
-	for _, vm := range c.vms.VMs {
-		if vm.Address != c.self {
-			peers = append(peers, vm)
-		}
-	}
-	return peers
-}
--- a/internal/supervisor/peers/service.go
+++ b/internal/supervisor/peers/service.go
@@ -6,11 +6,13 @@
 	"context"
 	"crypto/rand"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
 
+	"github.com/baobabstack/baobabstack/internal/clock"
 	"github.com/baobabstack/baobabstack/internal/logs"
 	"github.com/baobabstack/baobabstack/internal/peerwire"
 	"github.com/baobabstack/baobabstack/internal/supervisor/control"
@@ -27,6 +29,9 @@
 	holder      *view.Holder
 	control     *control.Control
 	links       *Links
+	pulls       pulls
+	clock       clock.Clock
+	digestAt    atomic.Int64 // clock time of the latest useful digest, in nanoseconds
 	log         logs.Logger
 }
 
@@ -34,10 +39,12 @@
 func NewService(address string, holder *view.Holder, c *control.Control, links *Links) *Service {
 	incarnation := make([]byte, incarnationSize)
 	_, _ = rand.Read(incarnation)
-	return &Service{
+	s := &Service{
 		address: address, incarnation: incarnation, holder: holder, control: c,
-		links: links, log: logs.For("peers"),
+		links: links, clock: clock.Boot{}, log: logs.For("peers"),
 	}
+	s.digestAt.Store(int64(s.clock.Now()))
+	return s
 }
 
 // Serve listens and exchanges digests until the context ends.
@@ -46,12 +53,16 @@
 	if err != nil {
 		return errors.Wrapf(err, "peers: listen on %s", s.address)
 	}
-	server := grpc.NewServer()
+	server := grpc.NewServer(grpc.StatsHandler(byteCounter{}))
 	peerwire.RegisterPeersServer(server, s)
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
 	defer server.Stop()
 	s.log.Infof("listen on %s", listener.Addr())
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go s.ask(ctx)
+	go s.spread(ctx)
 	ticker := time.NewTicker(exchangeEvery)
 	defer ticker.Stop()
 	for {
@@ -61,8 +72,14 @@
 		case err := <-failed:
 			return errors.Wrap(err, "peers: serve")
 		case <-ticker.C:
-			s.links.Keep(s.holder.Load().Peers)
+			s.links.Keep(s.holder.Load().Peers, s.clock.Now())
 			s.exchangeRound(ctx)
 		}
 	}
 }
+
+// DigestAge returns the time since a peer sent a digest whose VM list was at
+// least as new as this entry's.
+func (s *Service) DigestAge() time.Duration {
+	return s.clock.Now() - time.Duration(s.digestAt.Load())
+}
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -12,6 +12,7 @@
 
 	"github.com/baobabstack/baobabstack/internal/clock"
 	"github.com/baobabstack/baobabstack/internal/dispatch"
+	"github.com/baobabstack/baobabstack/internal/journal"
 	"github.com/baobabstack/baobabstack/internal/lists"
 	"github.com/baobabstack/baobabstack/internal/logs"
 	"github.com/baobabstack/baobabstack/internal/settings"
@@ -28,6 +29,8 @@
 const (
 	drainTimeout = 30 * time.Second
 	flushTimeout = 2 * time.Second
+
+	journalEntries = 1024
 )
 
 // Run runs an entry until the context ends, then stops it gracefully: no new
@@ -48,16 +51,18 @@
 	defer engine.Stop()
 
 	holder := &view.Holder{}
-	ctl := control.New(s.Peers.Address, holder, servers.NewRegistry(engine))
+	ctl := control.New(s.Peers.Address, holder, servers.NewRegistry(engine), journal.New(journalEntries))
 	dispatcher := dispatch.New(dispatch.Unlimited{}, dispatch.NewAttempts(holder, clock.Boot{}))
 	handler := callers.NewHandler(holder, clock.Boot{}, dispatcher, s.Callers.MaxInFlight)
 
 	root := suture.New("entry", suture.Spec{EventHook: func(e suture.Event) { log.Warnf("%s", e) }})
 	root.Add(ctl)
+	peerService := peers.NewService(s.Peers.Address, holder, ctl, peers.NewLinks())
+	root.Add(peerService)
+	source := configuration.Source{URL: s.Configuration.URL, Self: s.Peers.Address, DigestAge: peerService.DigestAge}
 	for _, name := range lists.Names() {
-		root.Add(configuration.NewWatcher(name, s.Configuration.URL, holder, ctl))
+		root.Add(configuration.NewWatcher(name, source, holder, ctl))
 	}
-	root.Add(peers.NewService(s.Peers.Address, holder, ctl, peers.NewLinks()))
 	root.Add(admin.NewService(s.Admin.Address, holder))
 	root.Add(callers.NewService(s.Callers.Address, s.Callers.MaxBodyBytes, handler))
 
