Prove that changes to the lists are in force everywhere and stay

Cause: nothing showed what happens to versions when the configuration service is down or stale, the fleet is cut, or operators race.

Status shows each list's version, refusal, suspect members and stale source.

--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"sync"
 	"syscall"
 
@@ -26,6 +27,9 @@
 	Servers map[string][]ServerOptions
 	// Plans and Allowances are the operators' lists; the samples if nil.
 	Plans, Allowances []byte
+	// PlatformEach gives each entry a configuration service of its own, so that a
+	// test can cut or age it.
+	PlatformEach bool
 	// Binary is the program to run as entries; see BuildBinary.
 	Binary string
 	// Log takes the entries' logs; nil drops them.
@@ -39,12 +43,16 @@
 	Platform *Platform
 	// PlatformURL is its base URL.
 	PlatformURL string
+	// Platforms holds all configuration services, in the order of the entries if
+	// each has its own; the first is Platform.
+	Platforms []*Platform
 	// Servers holds the fake servers by id.
 	Servers map[string]*RunningServer
 	// Entries holds the entries in order.
 	Entries []*EntryProcess
 
 	dir     string
+	urls    []string // of Platforms
 	options FleetOptions
 	http    []*http.Server
 }
@@ -78,12 +86,9 @@
 		return errors.WithStack(err)
 	}
 	f.dir = dir
-	server, address, err := listen(f.Platform.Handler())
-	if err != nil {
+	if err := f.startPlatforms(); err != nil {
 		return err
 	}
-	f.http = append(f.http, server)
-	f.PlatformURL = "http://" + address
 	for service, options := range f.options.Servers {
 		for _, o := range options {
 			if err := f.addServer(service, o); err != nil {
@@ -102,6 +107,45 @@
 	return f.startEntries(ctx)
 }
 
+func (f *Fleet) startPlatforms() error {
+	n := 1
+	if f.options.PlatformEach {
+		n = f.options.Entries
+	}
+	for i := range n {
+		platform := f.Platform
+		if i > 0 {
+			platform = NewPlatform()
+		}
+		server, address, err := listen(platform.Handler())
+		if err != nil {
+			return err
+		}
+		f.http = append(f.http, server)
+		f.Platforms = append(f.Platforms, platform)
+		f.urls = append(f.urls, "http://"+address)
+	}
+	f.PlatformURL = f.urls[0]
+	return nil
+}
+
+// Publish publishes the next version of a list at all configuration services and
+// returns the version at the first.
+func (f *Fleet) Publish(name lists.Name, body []byte) uint64 {
+	for _, platform := range f.Platforms[1:] {
+		platform.Publish(string(name), body)
+	}
+	return f.Platform.Publish(string(name), body)
+}
+
+// platformURL returns the URL of an entry's configuration service.
+func (f *Fleet) platformURL(e *EntryProcess) string {
+	if i := slices.Index(f.Entries, e); i > 0 && i < len(f.urls) {
+		return f.urls[i]
+	}
+	return f.PlatformURL
+}
+
 func (f *Fleet) addServer(service string, o ServerOptions) error {
 	s := NewServer(o)
 	server, address, err := listen(s.Handler())
@@ -121,8 +165,8 @@
 	if allowances == nil {
 		allowances = SampleAllowances()
 	}
-	f.Platform.Publish(string(lists.PlansName), plans)
-	f.Platform.Publish(string(lists.AllowancesName), allowances)
+	f.Publish(lists.PlansName, plans)
+	f.Publish(lists.AllowancesName, allowances)
 	f.PublishServers()
 	f.PublishVMs()
 }
@@ -133,7 +177,7 @@
 	for _, s := range f.Servers {
 		list = append(list, s.Info)
 	}
-	f.Platform.Publish(string(lists.ServersName), SampleServers(list))
+	f.Publish(lists.ServersName, SampleServers(list))
 }
 
 // PublishVMs publishes the list of all entries as live.
@@ -142,7 +186,7 @@
 	for _, e := range f.Entries {
 		list = append(list, e.VM())
 	}
-	f.Platform.Publish(string(lists.VMsName), SampleVMs(list))
+	f.Publish(lists.VMsName, SampleVMs(list))
 }
 
 func (f *Fleet) startEntries(ctx context.Context) error {
@@ -165,7 +209,7 @@
 	if log == nil {
 		log = io.Discard
 	}
-	return e.Start(f.options.Binary, f.dir, f.PlatformURL, log)
+	return e.Start(f.options.Binary, f.dir, f.platformURL(e), log)
 }
 
 // Close kills the entries and closes everything.
--- a/internal/supervisor/admin/admin.go
+++ b/internal/supervisor/admin/admin.go
@@ -64,6 +64,8 @@
 	Leaving bool `json:"leaving"`
 	// Versions holds the lists in force.
 	Versions map[string]uint64 `json:"versions"`
+	// Lists holds the state of each list.
+	Lists map[string]ListStatus `json:"lists"`
 	// Services holds the servers by service.
 	Services map[string][]ServerStatus `json:"services"`
 	// Peers is the number of other entries in the VM list.
@@ -85,7 +87,7 @@
 	snapshot := s.holder.Load()
 	status := Status{
 		Ready: snapshot.Ready, Leaving: snapshot.Leaving, Peers: len(snapshot.Peers),
-		Versions: make(map[string]uint64), Services: make(map[string][]ServerStatus),
+		Lists: listStatuses(snapshot), Versions: make(map[string]uint64), Services: make(map[string][]ServerStatus),
 	}
 	for name, list := range snapshot.Lists {
 		status.Versions[string(name)] = list.Version
--- a/internal/supervisor/control/platform.go
+++ b/internal/supervisor/control/platform.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"github.com/baobabstack/baobabstack/internal/defect"
 	"github.com/baobabstack/baobabstack/internal/lists"
 	"github.com/baobabstack/baobabstack/internal/policy/adopt"
 	"github.com/baobabstack/baobabstack/internal/view"
@@ -20,6 +21,9 @@
 }
 
 func (p *platform) setServers(list *lists.Servers) {
+	if p.servers != nil && defect.On("config-servers-ignored") {
+		return
+	}
 	p.servers, p.suspect[lists.ServersName] = adopt.Servers(p.publishedServers, list)
 	p.publishedServers = list
 }
--- a/internal/supervisor/peers/pull.go
+++ b/internal/supervisor/peers/pull.go
@@ -9,6 +9,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/encoding/gzip"
 
+	"github.com/baobabstack/baobabstack/internal/defect"
 	"github.com/baobabstack/baobabstack/internal/fault"
 	"github.com/baobabstack/baobabstack/internal/lists"
 	"github.com/baobabstack/baobabstack/internal/peerwire"
@@ -83,7 +84,7 @@
 func (s *Service) pullNewer(ctx context.Context, address string, d *peerwire.Digest) {
 	for _, name := range lists.Names() {
 		snapshot := s.holder.Load()
-		if !s.pulls.begin(snapshot, name, d.GetVersions()[string(name)]) {
+		if defect.On("config-no-pull") || !s.pulls.begin(snapshot, name, d.GetVersions()[string(name)]) {
 			continue
 		}
 		if err := s.pull(ctx, address, name, snapshot.Lists[name].Version); err != nil {
