--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -10,7 +10,6 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
-	"slices"
 	"sync"
 	"syscall"
 
@@ -30,6 +29,11 @@
 	// PlatformEach gives each entry a configuration service of its own, so that a
 	// test can cut or age it.
 	PlatformEach bool
+	// PlatformFor returns the configuration service of the entry with the given
+	// index, or nil for the fleet's own. The caller publishes its lists.
+	PlatformFor func(entry int) *Platform
+	// Started is called once addresses are known, before the entries start.
+	Started func(*Fleet)
 	// Binary is the program to run as entries; see BuildBinary.
 	Binary string
 	// Log takes the entries' logs; nil drops them.
@@ -51,10 +55,10 @@
 	// Entries holds the entries in order.
 	Entries []*EntryProcess
 
-	dir     string
-	urls    []string // of Platforms
-	options FleetOptions
-	http    []*http.Server
+	dir       string
+	options   FleetOptions
+	http      []*http.Server
+	platforms map[string]string // URL by entry id
 }
 
 // RunningServer is a fake server with a listener.
@@ -86,9 +90,18 @@
 		return errors.WithStack(err)
 	}
 	f.dir = dir
-	if err := f.startPlatforms(); err != nil {
+	server, address, err := listen(f.Platform.Handler())
+	if err != nil {
 		return err
 	}
+	f.http = append(f.http, server)
+	f.PlatformURL = "http://" + address
+	f.Platforms = []*Platform{f.Platform}
+	if f.options.PlatformEach {
+		for range f.options.Entries - 1 {
+			f.Platforms = append(f.Platforms, NewPlatform())
+		}
+	}
 	for service, options := range f.options.Servers {
 		for _, o := range options {
 			if err := f.addServer(service, o); err != nil {
@@ -104,28 +117,43 @@
 		f.Entries = append(f.Entries, e)
 	}
 	f.publishAll()
+	if err := f.startPlatforms(); err != nil {
+		return err
+	}
+	if f.options.Started != nil {
+		f.options.Started(f)
+	}
 	return f.startEntries(ctx)
 }
 
+// startPlatforms serves the platforms of entries that have one of their own.
 func (f *Fleet) startPlatforms() error {
-	n := 1
-	if f.options.PlatformEach {
-		n = f.options.Entries
-	}
-	for i := range n {
-		platform := f.Platform
-		if i > 0 {
-			platform = NewPlatform()
+	f.platforms = make(map[string]string)
+	for i, e := range f.Entries {
+		f.platforms[e.ID] = f.PlatformURL
+		platform := f.platformOf(i)
+		if platform == nil {
+			continue
 		}
 		server, address, err := listen(platform.Handler())
 		if err != nil {
 			return err
 		}
 		f.http = append(f.http, server)
-		f.Platforms = append(f.Platforms, platform)
-		f.urls = append(f.urls, "http://"+address)
+		f.platforms[e.ID] = "http://" + address
+	}
+	return nil
+}
+
+// platformOf returns the platform of an entry if it has one of its own that is
+// not served yet.
+func (f *Fleet) platformOf(i int) *Platform {
+	if f.options.PlatformFor != nil {
+		return f.options.PlatformFor(i)
+	}
+	if f.options.PlatformEach && i > 0 {
+		return f.Platforms[i]
 	}
-	f.PlatformURL = f.urls[0]
 	return nil
 }
 
@@ -138,14 +166,6 @@
 	return f.Platform.Publish(string(name), body)
 }
 
-// platformURL returns the URL of an entry's configuration service.
-func (f *Fleet) platformURL(e *EntryProcess) string {
-	if i := slices.Index(f.Entries, e); i > 0 && i < len(f.urls) {
-		return f.urls[i]
-	}
-	return f.PlatformURL
-}
-
 func (f *Fleet) addServer(service string, o ServerOptions) error {
 	s := NewServer(o)
 	server, address, err := listen(s.Handler())
@@ -209,7 +229,7 @@
 	if log == nil {
 		log = io.Discard
 	}
-	return e.Start(f.options.Binary, f.dir, f.platformURL(e), log)
+	return e.Start(f.options.Binary, f.dir, f.platforms[e.ID], log)
 }
 
 // Close kills the entries and closes everything.
--- a/internal/supervisor/control/control.go
+++ b/internal/supervisor/control/control.go
@@ -48,6 +48,8 @@
 	early     map[lists.Name]ListArrived
 	asked     bool
 	leaving   bool
+	// awaitShares is true until the shares of the allowances can be used.
+	awaitShares bool
 }
 
 // New returns a control for the entry with the given peer address.
--- a/internal/supervisor/control/publish.go
+++ b/internal/supervisor/control/publish.go
@@ -32,7 +32,7 @@
 		s.VMs = c.platform.vms.VMs
 		s.Peers = c.peers()
 	}
-	s.Ready = c.asked && !c.leaving && s.Plans != nil && s.Services != nil && s.VMs != nil
+	s.Ready = c.asked && !c.leaving && !c.awaitShares && s.Plans != nil && s.Services != nil && s.VMs != nil
 	c.holder.Store(s)
 	c.report(s)
 }
--- a/internal/supervisor/peers/links.go
+++ b/internal/supervisor/peers/links.go
@@ -4,14 +4,30 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
 
 	"github.com/baobabstack/baobabstack/internal/lists"
 	"github.com/baobabstack/baobabstack/internal/peerwire"
 )
 
+var linksDropped = metrics.NewCounter("baobab_links_dropped_total")
+
+// Bounds on how long a silent link or an unreachable peer goes unnoticed. The
+// keepalive timeout is also the TCP user timeout, which bounds how long bytes
+// stay unacknowledged; flow control bounds how many do.
+var (
+	connectParams = grpc.ConnectParams{
+		Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 2, Jitter: 0.2, MaxDelay: time.Second},
+		MinConnectTimeout: 2 * time.Second,
+	}
+	keepaliveParams = keepalive.ClientParameters{Time: 10 * time.Second, Timeout: 2 * time.Second}
+)
+
 // linkLinger is how long the connection to a VM that left the list stays open,
 // so that calls over it can end.
 const linkLinger = time.Minute
@@ -35,18 +51,43 @@
 // Client returns a client of the peer at the address; its connection is opened
 // on first use.
 func (l *Links) Client(address string) (peerwire.PeersClient, error) {
+	conn, err := l.Conn(address)
+	if err != nil {
+		return nil, err
+	}
+	return peerwire.NewPeersClient(conn), nil
+}
+
+// Conn returns the connection to the peer at the address.
+func (l *Links) Conn(address string) (*grpc.ClientConn, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if known, ok := l.links[address]; ok {
-		return peerwire.NewPeersClient(known.conn), nil
+		return known.conn, nil
 	}
-	conn, err := grpc.NewClient("passthrough:///"+address,
-		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithStatsHandler(byteCounter{}))
+	conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithConnectParams(connectParams), grpc.WithKeepaliveParams(keepaliveParams),
+		grpc.WithStatsHandler(byteCounter{}))
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
 	l.links[address] = &link{conn: conn}
-	return peerwire.NewPeersClient(conn), nil
+	return conn, nil
+}
+
+// Drop closes a connection that went silent, so that the next request to the
+// peer opens a new one, and reports whether it was still in use. Requests in
+// flight on it end with an error.
+func (l *Links) Drop(address string, conn *grpc.ClientConn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if known, ok := l.links[address]; !ok || known.conn != conn {
+		return false
+	}
+	delete(l.links, address)
+	_ = conn.Close()
+	linksDropped.Inc()
+	return true
 }
 
 // Keep closes the connections to VMs that have been missing from the list for
--- a/internal/supervisor/peers/service.go
+++ b/internal/supervisor/peers/service.go
@@ -11,15 +11,23 @@
 
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/keepalive"
 
 	"github.com/baobabstack/baobabstack/internal/clock"
 	"github.com/baobabstack/baobabstack/internal/logs"
 	"github.com/baobabstack/baobabstack/internal/peerwire"
 	"github.com/baobabstack/baobabstack/internal/supervisor/control"
+	"github.com/baobabstack/baobabstack/internal/supervisor/shares"
 	"github.com/baobabstack/baobabstack/internal/view"
 )
 
-const incarnationSize = 16
+const (
+	incarnationSize = 16
+	stopTimeout     = time.Second
+)
+
+// enforcement lets peers send keepalives as often as they do.
+var enforcement = keepalive.EnforcementPolicy{MinTime: 5 * time.Second, PermitWithoutStream: true}
 
 // Service runs the peers' listener and the exchange of digests.
 type Service struct {
@@ -32,16 +40,20 @@
 	pulls       pulls
 	clock       clock.Clock
 	digestAt    atomic.Int64 // clock time of the latest useful digest, in nanoseconds
+	owned       *Owned
+	maxBytes    int
+	book        *shares.Book
 	log         logs.Logger
 }
 
 // NewService returns the peers' service of the entry with the given address.
-func NewService(address string, holder *view.Holder, c *control.Control, links *Links) *Service {
+// Forwarded calls have bodies of at most maxBodyBytes.
+func NewService(address string, holder *view.Holder, c *control.Control, links *Links, owned *Owned, maxBodyBytes int) *Service {
 	incarnation := make([]byte, incarnationSize)
 	_, _ = rand.Read(incarnation)
 	s := &Service{
 		address: address, incarnation: incarnation, holder: holder, control: c,
-		links: links, clock: clock.Boot{}, log: logs.For("peers"),
+		links: links, owned: owned, maxBytes: messageBytes(maxBodyBytes), clock: clock.Boot{}, log: logs.For("peers"),
 	}
 	s.digestAt.Store(int64(s.clock.Now()))
 	return s
@@ -53,11 +65,12 @@
 	if err != nil {
 		return errors.Wrapf(err, "peers: listen on %s", s.address)
 	}
-	server := grpc.NewServer(grpc.StatsHandler(byteCounter{}))
+	server := grpc.NewServer(grpc.MaxRecvMsgSize(s.maxBytes), grpc.KeepaliveEnforcementPolicy(enforcement),
+		grpc.StatsHandler(byteCounter{}))
 	peerwire.RegisterPeersServer(server, s)
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
-	defer server.Stop()
+	defer stop(server)
 	s.log.Infof("listen on %s", listener.Addr())
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -83,3 +96,10 @@
 func (s *Service) DigestAge() time.Duration {
 	return s.clock.Now() - time.Duration(s.digestAt.Load())
 }
+
+// stop lets answers that are ready go out before the connections close.
+func stop(server *grpc.Server) {
+	timer := time.AfterFunc(stopTimeout, server.Stop)
+	defer timer.Stop()
+	server.GracefulStop()
+}
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -22,6 +22,7 @@
 	"github.com/baobabstack/baobabstack/internal/supervisor/control"
 	"github.com/baobabstack/baobabstack/internal/supervisor/peers"
 	"github.com/baobabstack/baobabstack/internal/supervisor/servers"
+	"github.com/baobabstack/baobabstack/internal/supervisor/shares"
 	"github.com/baobabstack/baobabstack/internal/tracing"
 	"github.com/baobabstack/baobabstack/internal/view"
 )
@@ -51,18 +52,24 @@
 	defer engine.Stop()
 
 	holder := &view.Holder{}
+	book := shares.NewBook(clock.Boot{})
 	ctl := control.New(s.Peers.Address, holder, servers.NewRegistry(engine), journal.New(journalEntries))
-	dispatcher := dispatch.New(dispatch.Unlimited{}, dispatch.NewAttempts(holder, clock.Boot{}))
-	handler := callers.NewHandler(holder, clock.Boot{}, dispatcher, s.Callers.MaxInFlight)
+	ctl.AwaitShares()
+	links := peers.NewLinks()
+	forwarder := peers.NewForwarder(links, clock.Boot{}, s.Callers.MaxBodyBytes)
+	tickets := dispatch.NewTickets(s.Entry.ID, s.Callers.MaxInFlight, holder, clock.Boot{}, forwarder)
+	dispatcher := dispatch.New(dispatch.NewLimits(holder, clock.Boot{}, book), dispatch.NewAttempts(holder, clock.Boot{}), tickets)
+	handler := callers.NewHandler(holder, clock.Boot{}, dispatcher, s.Callers.MaxInFlight, tickets)
+	owned := peers.NewOwned(holder, clock.Boot{}, dispatcher)
+	peerService := peers.NewService(s.Peers.Address, holder, ctl, links, owned, s.Callers.MaxBodyBytes)
+	peerService.SetBook(book)
+	borrower := shares.NewService(book, holder, links, clock.Boot{}, func() bool { return ctl.Send(control.SharesUsable{}) })
 
 	root := suture.New("entry", suture.Spec{EventHook: func(e suture.Event) { log.Warnf("%s", e) }})
 	root.Add(ctl)
-	peerService := peers.NewService(s.Peers.Address, holder, ctl, peers.NewLinks())
 	root.Add(peerService)
-	source := configuration.Source{URL: s.Configuration.URL, Self: s.Peers.Address, DigestAge: peerService.DigestAge}
-	for _, name := range lists.Names() {
-		root.Add(configuration.NewWatcher(name, source, holder, ctl))
-	}
+	addWatchers(root, s, holder, ctl, peerService)
+	root.Add(borrower)
 	root.Add(admin.NewService(s.Admin.Address, holder))
 	root.Add(callers.NewService(s.Callers.Address, s.Callers.MaxBodyBytes, handler))
 
@@ -70,7 +77,7 @@
 	defer stopTree()
 	done := root.ServeBackground(treeCtx)
 	<-ctx.Done()
-	drain(ctl, handler, log)
+	drain(ctl, log, handler, tickets)
 	stopTree()
 	if err := <-done; err != nil && !errors.Is(err, context.Canceled) {
 		log.Errorf("the tree ended: %v", err)
@@ -80,12 +87,25 @@
 	return stopTracing(flushCtx)
 }
 
+// waiter is a part with calls in flight.
+type waiter interface{ Wait() }
+
+// addWatchers adds a watcher of each list.
+func addWatchers(root *suture.Supervisor, s *settings.Settings, holder *view.Holder, ctl *control.Control, p *peers.Service) {
+	source := configuration.Source{URL: s.Configuration.URL, Self: s.Peers.Address, DigestAge: p.DigestAge}
+	for _, name := range lists.Names() {
+		root.Add(configuration.NewWatcher(name, source, holder, ctl))
+	}
+}
+
 // drain stops new calls and waits for those in flight.
-func drain(ctl *control.Control, handler *callers.Handler, log logs.Logger) {
+func drain(ctl *control.Control, log logs.Logger, parts ...waiter) {
 	ctl.Send(control.StopRequested{})
 	idle := make(chan struct{})
 	go func() {
-		handler.Wait()
+		for _, part := range parts {
+			part.Wait()
+		}
 		close(idle)
 	}()
 	select {
--- a/proof/configuration_test.go
+++ b/proof/configuration_test.go
@@ -37,17 +37,6 @@
 	return status
 }
 
-// eventually waits until the condition holds.
-func eventually(ctx context.Context, t *testing.T, what string, condition func() bool) {
-	t.Helper()
-	for !condition() {
-		if ctx.Err() != nil {
-			t.Fatalf("never: %s", what)
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-}
-
 // waitVersion waits until the entries have a version of a list in force.
 func waitVersion(ctx context.Context, t *testing.T, name lists.Name, version uint64, entries ...*standin.EntryProcess) {
 	t.Helper()
