Drop a peer connection over which no digest is answered in time

Change: an exchange that runs into its 1 s timeout drops the connection, as a forwarded call's check does; the next exchange opens a new one. Closing only after two timeouts was ruled out: with three random peers a round the second one may come after the 4 s.

--- a/internal/supervisor/peers/exchange.go
+++ b/internal/supervisor/peers/exchange.go
@@ -6,7 +6,11 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
+	"github.com/baobabstack/baobabstack/internal/defect"
+	"github.com/baobabstack/baobabstack/internal/journal"
 	"github.com/baobabstack/baobabstack/internal/lists"
 	"github.com/baobabstack/baobabstack/internal/peerwire"
 	"github.com/baobabstack/baobabstack/internal/view"
@@ -82,15 +86,20 @@
 	s.pullNewer(ctx, address, reply)
 }
 
-// exchange sends this entry's digest to a peer and returns the peer's.
+// exchange sends this entry's digest to a peer and returns the peer's. A
+// connection over which no answer comes in time is dropped, because it may have
+// gone silent.
 func (s *Service) exchange(ctx context.Context, address string) (*peerwire.Digest, error) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	client, err := s.links.Client(address)
+	conn, err := s.links.Conn(address)
 	if err != nil {
 		return nil, err
 	}
-	reply, err := client.Exchange(ctx, s.digest())
+	reply, err := peerwire.NewPeersClient(conn).Exchange(ctx, s.digest())
+	if status.Code(err) == codes.DeadlineExceeded && !defect.On("config-silent-link") && s.links.Drop(address, conn) {
+		journal.Note("peers", "link-dropped", address, "a digest was not answered within "+exchangeTimeout.String())
+	}
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -30,8 +30,6 @@
 const (
 	drainTimeout = 30 * time.Second
 	flushTimeout = 2 * time.Second
-
-	journalEntries = 1024
 )
 
 // Run runs an entry until the context ends, then stops it gracefully: no new
@@ -53,7 +51,7 @@
 
 	holder := &view.Holder{}
 	book := shares.NewBook(clock.Boot{})
-	ctl := control.New(s.Peers.Address, holder, servers.NewRegistry(engine), journal.New(journalEntries))
+	ctl := control.New(s.Peers.Address, holder, servers.NewRegistry(engine), journal.Default())
 	ctl.AwaitShares()
 	links := peers.NewLinks()
 	forwarder := peers.NewForwarder(links, clock.Boot{}, s.Callers.MaxBodyBytes)
