Name the right line of each fault, and report all unknown keys

Cause: the line of a key came from a scan of the text for each key. It missed quoted keys, inline tables and keys inside strings, and took time in the square of the list's length.

Change: lines come from one pass of go-toml's parser. The check command has a file of its own.

--- /dev/null
+++ b/internal/cli/check.go
@@ -0,0 +1,53 @@
+package cli
+
+import (
+	"os"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/baobabstack/baobabstack/internal/fault"
+	"github.com/baobabstack/baobabstack/internal/lists"
+	"github.com/baobabstack/baobabstack/internal/settings"
+)
+
+type checkCommand struct {
+	streams
+	Settings   string `long:"settings" value-name:"FILE" description:"Settings file (TOML)"`
+	Plans      string `long:"plans" value-name:"FILE" description:"Plans list (TOML)"`
+	Allowances string `long:"allowances" value-name:"FILE" description:"Allowances list (TOML)"`
+}
+
+// Execute checks the files that are named.
+func (c *checkCommand) Execute([]string) error {
+	if c.Settings == "" && c.Plans == "" && c.Allowances == "" {
+		return &flags.Error{Type: flags.ErrRequired, Message: "name at least one of --settings, --plans and --allowances"}
+	}
+	var all []error
+	if c.Settings != "" {
+		_, faults := settings.Load(c.Settings)
+		all = append(all, faults...)
+	}
+	all = append(all, c.checkLists()...)
+	return c.faults(all)
+}
+
+func (c *checkCommand) checkLists() []error {
+	plans, faults := load(c.Plans, lists.ParsePlans)
+	allowances, more := load(c.Allowances, lists.ParseAllowances)
+	faults = append(faults, more...)
+	if plans != nil && allowances != nil {
+		faults = append(faults, lists.CrossCheck(c.Plans, plans, allowances)...)
+	}
+	return faults
+}
+
+func load[T any](file string, parse func(string, []byte) (*T, []error)) (*T, []error) {
+	if file == "" {
+		return nil, nil
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, []error{fault.Wrap(err, fault.List, file, "cannot be read", "give the path of a list file")}
+	}
+	return parse(file, data)
+}
--- a/internal/lists/allowances.go
+++ b/internal/lists/allowances.go
@@ -104,8 +104,8 @@
 func ParseAllowances(file string, data []byte) (*Allowances, []error) {
 	var raw allowancesFile
 	p := NewPlace(fault.List, file, data)
-	if err := decodeTOML(p, data, &raw); err != nil {
-		return nil, []error{err}
+	if faults := decodeTOML(p, data, &raw); len(faults) > 0 {
+		return nil, faults
 	}
 	if err := checkAllowancesEnd(p, raw); err != nil {
 		return nil, []error{err}
--- a/internal/lists/decode.go
+++ b/internal/lists/decode.go
@@ -8,6 +8,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync"
 
 	"github.com/pelletier/go-toml/v2"
 	"github.com/pkg/errors"
@@ -17,14 +18,15 @@
 
 // Place finds the line of a key in a TOML file for use in faults.
 type Place struct {
-	kind fault.Kind
-	file string
-	data []byte
+	kind  fault.Kind
+	file  string
+	lines func() map[string]int
 }
 
 // NewPlace returns the place of faults of one kind in one file.
 func NewPlace(kind fault.Kind, file string, data []byte) Place {
-	return Place{kind: kind, file: file, data: data}
+	lines := sync.OnceValue(func() map[string]int { return indexLines(data) })
+	return Place{kind: kind, file: file, lines: lines}
 }
 
 // Fault returns a fault at a dotted key.
@@ -36,7 +38,7 @@
 // parent that has one; 1 if none has.
 func (p Place) line(key string) int {
 	for key != "" {
-		if n := findLine(p.data, key); n > 0 {
+		if n := p.lines()[key]; n > 0 {
 			return n
 		}
 		parent := strings.LastIndexByte(key, '.')
@@ -48,35 +50,6 @@
 	return 1
 }
 
-// findLine scans TOML text for a table header or an assignment.
-func findLine(data []byte, key string) int {
-	table := ""
-	n := 0
-	for line := range bytes.Lines(data) {
-		n++
-		text := strings.TrimSpace(string(line))
-		if strings.HasPrefix(text, "[") {
-			table = strings.Trim(text, "[] ")
-			if table == key {
-				return n
-			}
-			continue
-		}
-		name, _, found := strings.Cut(text, "=")
-		if !found {
-			continue
-		}
-		full := strings.TrimSpace(name)
-		if table != "" {
-			full = table + "." + full
-		}
-		if full == key {
-			return n
-		}
-	}
-	return 0
-}
-
 func checkSize(p Place, data []byte) error {
 	if len(data) <= MaxBytes {
 		return nil
@@ -85,34 +58,50 @@
 }
 
 // decodeTOML decodes strictly: unknown keys are faults.
-func decodeTOML(p Place, data []byte, into any) error {
+func decodeTOML(p Place, data []byte, into any) []error {
 	if err := checkSize(p, data); err != nil {
-		return err
+		return []error{err}
 	}
 	decoder := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields()
-	err := decoder.Decode(into)
-	if err == nil {
-		return nil
+	if err := decoder.Decode(into); err != nil {
+		return TOMLFaults(fault.List, p.file, err)
 	}
-	return TOMLFault(fault.List, p.file, err)
+	return nil
 }
 
-// TOMLFault turns a decoder's error into a fault with file, line and key.
-func TOMLFault(kind fault.Kind, file string, err error) error {
+// TOMLFaults turns a decoder's error into faults with file, line and key.
+func TOMLFaults(kind fault.Kind, file string, err error) []error {
 	var strict *toml.StrictMissingError
-	if errors.As(err, &strict) && len(strict.Errors) > 0 {
-		first := strict.Errors[0]
-		row, _ := first.Position()
-		key := strings.Join(first.Key(), ".")
-		return fault.New(kind, fmt.Sprintf("%s:%d: %s", file, row, key), "is an unknown key", "remove it or correct its spelling")
+	if errors.As(err, &strict) {
+		var faults []error
+		for i := range strict.Errors {
+			row, _ := strict.Errors[i].Position()
+			key := strings.Join(strict.Errors[i].Key(), ".")
+			faults = append(faults, fault.New(kind, fmt.Sprintf("%s:%d: %s", file, row, key), "is an unknown key", "remove it or correct its spelling"))
+		}
+		return faults
 	}
 	var decode *toml.DecodeError
 	if errors.As(err, &decode) {
 		row, _ := decode.Position()
-		key := strings.Join(decode.Key(), ".")
-		return fault.New(kind, fmt.Sprintf("%s:%d: %s", file, row, key), decode.Error(), "correct the value's type or the TOML syntax")
+		place := fmt.Sprintf("%s:%d", file, row)
+		if key := strings.Join(decode.Key(), "."); key != "" {
+			place += ": " + key
+		}
+		return []error{fault.New(kind, place, decodeProblem(decode.Error()), "correct the value's type or the TOML syntax")}
+	}
+	return []error{fault.Wrap(err, kind, file, "cannot be decoded", "correct the TOML syntax")}
+}
+
+// decodeProblem leaves names of this program's types out of a decoder's message.
+func decodeProblem(message string) string {
+	message = strings.TrimPrefix(message, "toml: ")
+	problem, target, found := strings.Cut(message, " into struct field ")
+	if !found {
+		return message
 	}
-	return fault.Wrap(err, kind, file, "cannot be decoded", "correct the TOML syntax")
+	_, wanted, _ := strings.Cut(target, " of type ")
+	return problem + " as " + wanted
 }
 
 // decodeJSON decodes strictly: unknown keys and trailing data are faults.
--- a/internal/lists/plans.go
+++ b/internal/lists/plans.go
@@ -59,8 +59,8 @@
 func ParsePlans(file string, data []byte) (*Plans, []error) {
 	var raw plansFile
 	p := NewPlace(fault.List, file, data)
-	if err := decodeTOML(p, data, &raw); err != nil {
-		return nil, []error{err}
+	if faults := decodeTOML(p, data, &raw); len(faults) > 0 {
+		return nil, faults
 	}
 	if raw.End == nil {
 		return nil, []error{p.Fault("end", "the [end] table is missing, so the list may be truncated",
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -125,7 +125,7 @@
 	}
 	decoder := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields()
 	if err := decoder.Decode(s); err != nil {
-		return nil, []error{lists.TOMLFault(fault.Settings, file, err)}
+		return nil, lists.TOMLFaults(fault.Settings, file, err)
 	}
 	c := checker{place: lists.NewPlace(fault.Settings, file, data)}
 	c.check(s)
