--- a/internal/supervisor/peers/service.go
+++ b/internal/supervisor/peers/service.go
@@ -6,12 +6,14 @@
 	"context"
 	"crypto/rand"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/keepalive"
 
+	"github.com/baobabstack/baobabstack/internal/clock"
 	"github.com/baobabstack/baobabstack/internal/logs"
 	"github.com/baobabstack/baobabstack/internal/peerwire"
 	"github.com/baobabstack/baobabstack/internal/supervisor/control"
@@ -35,6 +37,9 @@
 	holder      *view.Holder
 	control     *control.Control
 	links       *Links
+	pulls       pulls
+	clock       clock.Clock
+	digestAt    atomic.Int64 // clock time of the latest useful digest, in nanoseconds
 	owned       *Owned
 	maxBytes    int
 	book        *shares.Book
@@ -46,10 +51,12 @@
 func NewService(address string, holder *view.Holder, c *control.Control, links *Links, owned *Owned, maxBodyBytes int) *Service {
 	incarnation := make([]byte, incarnationSize)
 	_, _ = rand.Read(incarnation)
-	return &Service{
+	s := &Service{
 		address: address, incarnation: incarnation, holder: holder, control: c,
-		links: links, owned: owned, maxBytes: messageBytes(maxBodyBytes), log: logs.For("peers"),
+		links: links, owned: owned, maxBytes: messageBytes(maxBodyBytes), clock: clock.Boot{}, log: logs.For("peers"),
 	}
+	s.digestAt.Store(int64(s.clock.Now()))
+	return s
 }
 
 // Serve listens and exchanges digests until the context ends.
@@ -58,12 +65,17 @@
 	if err != nil {
 		return errors.Wrapf(err, "peers: listen on %s", s.address)
 	}
-	server := grpc.NewServer(grpc.MaxRecvMsgSize(s.maxBytes), grpc.KeepaliveEnforcementPolicy(enforcement))
+	server := grpc.NewServer(grpc.MaxRecvMsgSize(s.maxBytes), grpc.KeepaliveEnforcementPolicy(enforcement),
+		grpc.StatsHandler(byteCounter{}))
 	peerwire.RegisterPeersServer(server, s)
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
 	defer stop(server)
 	s.log.Infof("listen on %s", listener.Addr())
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go s.ask(ctx)
+	go s.spread(ctx)
 	ticker := time.NewTicker(exchangeEvery)
 	defer ticker.Stop()
 	for {
@@ -73,12 +85,18 @@
 		case err := <-failed:
 			return errors.Wrap(err, "peers: serve")
 		case <-ticker.C:
-			s.links.Keep(s.holder.Load().Peers)
+			s.links.Keep(s.holder.Load().Peers, s.clock.Now())
 			s.exchangeRound(ctx)
 		}
 	}
 }
 
+// DigestAge returns the time since a peer sent a digest whose VM list was at
+// least as new as this entry's.
+func (s *Service) DigestAge() time.Duration {
+	return s.clock.Now() - time.Duration(s.digestAt.Load())
+}
+
 // stop lets answers that are ready go out before the connections close.
 func stop(server *grpc.Server) {
 	timer := time.AfterFunc(stopTimeout, server.Stop)
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -12,6 +12,7 @@
 
 	"github.com/baobabstack/baobabstack/internal/clock"
 	"github.com/baobabstack/baobabstack/internal/dispatch"
+	"github.com/baobabstack/baobabstack/internal/journal"
 	"github.com/baobabstack/baobabstack/internal/lists"
 	"github.com/baobabstack/baobabstack/internal/logs"
 	"github.com/baobabstack/baobabstack/internal/memory"
@@ -50,7 +51,7 @@
 
 	holder := &view.Holder{}
 	book := shares.NewBook(clock.Boot{})
-	ctl := control.New(s.Peers.Address, holder, servers.NewRegistry(engine))
+	ctl := control.New(s.Peers.Address, holder, servers.NewRegistry(engine), journal.Default())
 	ctl.AwaitShares()
 	links := peers.NewLinks()
 	forwarder := peers.NewForwarder(links, clock.Boot{}, s.Callers.MaxBodyBytes)
@@ -63,10 +64,8 @@
 
 	root := suture.New("entry", suture.Spec{EventHook: func(e suture.Event) { log.Warnf("%s", e) }})
 	root.Add(ctl)
-	for _, name := range lists.Names() {
-		root.Add(configuration.NewWatcher(name, s.Configuration.URL, holder, ctl))
-	}
 	root.Add(peerService)
+	addWatchers(root, s, holder, ctl, peerService)
 	root.Add(shares.NewService(book, holder, links, clock.Boot{}, func() bool { return ctl.Send(control.SharesUsable{}) }))
 	root.Add(admin.NewService(s.Admin.Address, holder))
 	root.Add(callers.NewService(s.Callers.Address, s.Callers.MaxBodyBytes, handler))
@@ -103,6 +102,14 @@
 // waiter is a part with calls in flight.
 type waiter interface{ Wait() }
 
+// addWatchers adds a watcher of each list.
+func addWatchers(root *suture.Supervisor, s *settings.Settings, holder *view.Holder, ctl *control.Control, p *peers.Service) {
+	source := configuration.Source{URL: s.Configuration.URL, Self: s.Peers.Address, DigestAge: p.DigestAge}
+	for _, name := range lists.Names() {
+		root.Add(configuration.NewWatcher(name, source, holder, ctl))
+	}
+}
+
 // drain stops new calls and waits for those in flight.
 func drain(ctl *control.Control, log logs.Logger, parts ...waiter) {
 	ctl.Send(control.StopRequested{})
