Read servers' answers with net/http, so that none reaches another call

Cause: nbhttp's client gives bytes that follow an answer to the next call on the connection. TestUnsolicitedAnswersReachNoOne failed with '/stock/lookup?box=2-90 got the answer "extra"', and for another call with a third call's own answer. The client also took answers with two lengths and 'Content-Length: +3' for whole.

Change: internal/supervisor/servers reads with net/http's reader on a TCP connection of its own. A connection is used again only if nothing has come on it since its answer, not even its end, so a closed one costs no booking either. Interim answers are skipped.

Ruled out: guards around nbhttp's client. Its parser hands answers to goroutines while it parses on, and part of a status line that follows an answer stays in a buffer that can't be seen.

--- a/internal/supervisor/servers/conn.go
+++ b/internal/supervisor/servers/conn.go
@@ -1,22 +1,30 @@
 package servers
 
 import (
-	"bytes"
+	"bufio"
 	"context"
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
-	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
+
+	"github.com/baobabstack/baobabstack/internal/defect"
 )
 
-// conn is one connection to a server; it carries one call at a time.
+// conn is one connection to a server; it carries one call at a time. It reads
+// answers with net/http, whose reader leaves what follows an answer in a buffer
+// where it can be seen: nbhttp's client gives it to the next call.
 type conn struct {
-	client   *nbhttp.ClientConn
-	raw      net.Conn // the client takes it over with the first call
+	raw      *net.TCPConn
+	limited  *io.LimitedReader // bounds the bytes of one answer
+	reader   *bufio.Reader
+	maxBody  int
 	lastUsed time.Time
+	// spoilt is true once the connection must not carry another call.
+	spoilt bool
 }
 
 type reply struct {
@@ -26,61 +34,117 @@
 	err    error
 }
 
-// dial opens a connection. No byte is sent on it.
-func dial(ctx context.Context, engine *nbhttp.Engine, address string) (*conn, error) {
+const (
+	// maxHeadBytes bounds the heads of an answer and its interim answers.
+	maxHeadBytes = 64 << 10
+	// maxInterim bounds the interim answers (status 1xx) before an answer.
+	maxInterim = 8
+)
+
+var (
+	errNoLength = errors.New("the answer has neither a length nor chunks, so its end is not known")
+	errTooLarge = errors.New("the answer is larger than callers.max_body_bytes allows")
+	errInterim  = errors.New("the server sent only interim answers")
+	errNotTCP   = errors.New("the connection is not TCP")
+	errUpgrade  = errors.New("the server changed the protocol")
+)
+
+// dial opens a connection. No byte is sent on it. Answers have bodies of at most
+// maxBody bytes.
+func dial(ctx context.Context, maxBody int, address string) (*conn, error) {
 	var dialer net.Dialer
-	raw, err := dialer.DialContext(ctx, "tcp", address)
+	opened, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to %s", address)
 	}
-	client := &nbhttp.ClientConn{
-		Engine: engine,
-		Dial:   func(_, _ string) (net.Conn, error) { return raw, nil },
+	raw, ok := opened.(*net.TCPConn)
+	if !ok {
+		_ = opened.Close()
+		return nil, errors.WithStack(errNotTCP)
 	}
-	return &conn{client: client, raw: raw, lastUsed: time.Now()}, nil
+	limited := &io.LimitedReader{R: raw}
+	return &conn{raw: raw, limited: limited, reader: bufio.NewReader(limited), maxBody: maxBody, lastUsed: time.Now()}, nil
 }
 
-// exchange sends a request and waits for the whole answer. From the call on,
-// bytes of the request may have reached the server.
-func (c *conn) exchange(ctx context.Context, req *http.Request) reply {
-	done := make(chan reply, 1)
-	c.client.Do(req, func(res *http.Response, _ net.Conn, err error) {
-		done <- readReply(req.Method, res, err)
+// usable reports whether the connection may carry a call: nothing has come on it
+// since the last answer, not even its end.
+func (c *conn) usable() bool {
+	if c.spoilt {
+		return false
+	}
+	raw, err := c.raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT) //nolint:gosec // a file descriptor
+		quiet = errors.Is(err, syscall.EAGAIN)
+		return true
 	})
-	select {
-	case r := <-done:
+	return err == nil && quiet
+}
+
+// past is a time in the past: as a deadline it ends reads and writes at once.
+var past = time.Unix(1, 0)
+
+// exchange sends a request and waits for the whole answer, until the context
+// ends. From the call on, bytes of the request may have reached the server.
+func (c *conn) exchange(ctx context.Context, req *http.Request) reply {
+	c.spoilt = !defect.On("connection-reuse")
+	stop := context.AfterFunc(ctx, func() { _ = c.raw.SetDeadline(past) })
+	defer stop()
+	c.limited.N = int64(maxHeadBytes + c.maxBody)
+	if err := req.Write(c.raw); err != nil {
+		return reply{err: errors.WithStack(err)}
+	}
+	r, keep := c.read(req)
+	if r.err == nil && stop() {
 		c.lastUsed = time.Now()
-		return r
-	case <-ctx.Done():
-		return reply{err: errors.WithStack(ctx.Err())}
+		c.spoilt = !keep || c.reader.Buffered() > 0
 	}
+	return r
 }
 
-// close closes the connection, also if it never carried a call.
-func (c *conn) close() {
-	c.client.Close()
-	_ = c.raw.Close()
+// read returns the answer and whether the server keeps the connection.
+func (c *conn) read(req *http.Request) (reply, bool) {
+	for range maxInterim {
+		res, err := http.ReadResponse(c.reader, req)
+		if err != nil {
+			return reply{err: errors.Wrap(err, "read the answer")}, false
+		}
+		r := c.readBody(req.Method, res)
+		_ = res.Body.Close()
+		switch {
+		case res.StatusCode == http.StatusSwitchingProtocols:
+			return reply{err: errors.WithStack(errUpgrade)}, false
+		case res.StatusCode >= http.StatusOK:
+			return r, !res.Close
+		}
+	}
+	return reply{err: errors.WithStack(errInterim)}, false
 }
 
-var errNoLength = errors.New("the answer has neither a length nor chunks, so its end is not known")
-
-// readReply copies an answer; the library recycles it after the callback.
-func readReply(method string, res *http.Response, err error) reply {
-	if err != nil {
-		return reply{err: errors.WithStack(err)}
-	}
-	if res.ContentLength < 0 && len(res.Header["Transfer-Encoding"]) == 0 && mayHaveBody(method, res.StatusCode) {
+func (c *conn) readBody(method string, res *http.Response) reply {
+	if res.ContentLength < 0 && len(res.TransferEncoding) == 0 && mayHaveBody(method, res.StatusCode) {
 		return reply{err: errors.WithStack(errNoLength)}
 	}
-	var body bytes.Buffer
-	if res.Body != nil {
-		if _, err := io.Copy(&body, res.Body); err != nil {
-			return reply{err: errors.WithStack(err)}
-		}
+	if res.ContentLength > int64(c.maxBody) {
+		return reply{err: errors.WithStack(errTooLarge)}
 	}
-	return reply{status: res.StatusCode, header: res.Header.Clone(), body: body.Bytes()}
+	body, err := io.ReadAll(io.LimitReader(res.Body, int64(c.maxBody)+1))
+	switch {
+	case err != nil:
+		return reply{err: errors.WithStack(err)}
+	case len(body) > c.maxBody:
+		return reply{err: errors.WithStack(errTooLarge)}
+	}
+	return reply{status: res.StatusCode, header: res.Header, body: body}
 }
 
+func (c *conn) close() { _ = c.raw.Close() }
+
 func mayHaveBody(method string, status int) bool {
-	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
+	return method != http.MethodHead && status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
 }
--- a/internal/supervisor/servers/notrun_test.go
+++ b/internal/supervisor/servers/notrun_test.go
@@ -7,7 +7,6 @@
 	"testing"
 	"time"
 
-	"github.com/lesismal/nbio/nbhttp"
 	"gotest.tools/v3/assert"
 
 	"github.com/baobabstack/baobabstack/internal/call"
@@ -52,14 +51,11 @@
 	}
 }
 
-func testServer(t *testing.T, address string) *Server {
+func testServer(t testing.TB, address string) *Server {
 	t.Helper()
-	engine := nbhttp.NewEngine(nbhttp.Config{Name: "test", ClientExecutor: func(f func()) { go f() }})
-	assert.NilError(t, engine.Start())
-	t.Cleanup(engine.Stop)
 	list := &lists.Servers{Servers: []lists.Server{{ID: "moves-1", Service: "moves", Address: address, State: lists.Live}}}
 	allowances := &lists.Allowances{Entries: 1, Services: map[string]lists.Service{"moves": {Slots: 1, Connections: 4}}}
-	return NewRegistry(engine).Apply(list, allowances)["moves"][0]
+	return NewRegistry(1<<20).Apply(list, allowances)["moves"][0]
 }
 
 func bookingOf(body string, deadline time.Duration) *call.Request {
--- a/internal/supervisor/servers/pool.go
+++ b/internal/supervisor/servers/pool.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
 )
 
@@ -16,7 +15,7 @@
 
 // pool holds the connections of this entry to one server.
 type pool struct {
-	engine  *nbhttp.Engine
+	maxBody int
 	address string
 
 	mu     sync.Mutex
@@ -26,8 +25,8 @@
 	closed bool
 }
 
-func newPool(engine *nbhttp.Engine, address string, limit int) *pool {
-	return &pool{engine: engine, address: address, limit: limit}
+func newPool(maxBody int, address string, limit int) *pool {
+	return &pool{maxBody: maxBody, address: address, limit: limit}
 }
 
 // setLimit bounds the open connections from now on.
@@ -44,7 +43,7 @@
 	if c != nil || err != nil {
 		return c, err
 	}
-	c, err = dial(ctx, p.engine, p.address)
+	c, err = dial(ctx, p.maxBody, p.address)
 	if err != nil {
 		p.release()
 		return nil, err
@@ -64,7 +63,7 @@
 	for len(p.idle) > 0 {
 		c := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
-		if time.Since(c.lastUsed) < min(fresh, idleTimeout) {
+		if time.Since(c.lastUsed) < min(fresh, idleTimeout) && c.usable() {
 			return c, nil
 		}
 		p.open--
@@ -86,7 +85,7 @@
 // put returns a connection after a whole answer.
 func (p *pool) put(c *conn) {
 	p.mu.Lock()
-	if !p.closed && p.open <= p.limit {
+	if !p.closed && p.open <= p.limit && c.usable() {
 		p.idle = append(p.idle, c)
 		p.mu.Unlock()
 		return
--- a/internal/supervisor/servers/registry.go
+++ b/internal/supervisor/servers/registry.go
@@ -1,21 +1,20 @@
 package servers
 
 import (
-	"github.com/lesismal/nbio/nbhttp"
-
 	"github.com/baobabstack/baobabstack/internal/lists"
 )
 
 // Registry keeps a Server for each line of the platform's list. It is used by
 // the control goroutine only.
 type Registry struct {
-	engine  *nbhttp.Engine
+	maxBody int
 	servers map[string]*Server
 }
 
-// NewRegistry returns a registry whose connections run on the engine.
-func NewRegistry(engine *nbhttp.Engine) *Registry {
-	return &Registry{engine: engine, servers: make(map[string]*Server)}
+// NewRegistry returns a registry of servers whose answers have bodies of at most
+// maxBodyBytes.
+func NewRegistry(maxBodyBytes int) *Registry {
+	return &Registry{maxBody: maxBodyBytes, servers: make(map[string]*Server)}
 }
 
 // Apply brings the registry in line with the lists and returns the servers by
@@ -41,7 +40,7 @@
 func (r *Registry) keep(info lists.Server, limit int) *Server {
 	old, known := r.servers[info.ID]
 	if !known || old.Info.Address != info.Address || old.Info.Service != info.Service {
-		return newServer(info, newPool(r.engine, info.Address, limit))
+		return newServer(info, newPool(r.maxBody, info.Address, limit))
 	}
 	old.pool.setLimit(limit)
 	if old.Info == info {
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -6,7 +6,6 @@
 	"context"
 	"time"
 
-	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
 	"github.com/thejerf/suture/v4"
 
@@ -38,17 +37,8 @@
 	if err != nil {
 		return err
 	}
-	engine := nbhttp.NewEngine(nbhttp.Config{
-		Name: "servers", ReadLimit: s.Callers.MaxBodyBytes + 1<<16, MaxHTTPBodySize: s.Callers.MaxBodyBytes,
-		ServerExecutor: func(f func()) { go f() }, ClientExecutor: func(f func()) { go f() },
-	})
-	if err := engine.Start(); err != nil {
-		return errors.Wrap(err, "supervisor: start the servers' engine")
-	}
-	defer engine.Stop()
-
 	holder := &view.Holder{}
-	ctl := control.New(s.Peers.Address, holder, servers.NewRegistry(engine))
+	ctl := control.New(s.Peers.Address, holder, servers.NewRegistry(s.Callers.MaxBodyBytes))
 	links := peers.NewLinks()
 	forwarder := peers.NewForwarder(links, clock.Boot{}, s.Callers.MaxBodyBytes)
 	tickets := dispatch.NewTickets(s.Entry.ID, s.Callers.MaxInFlight, holder, clock.Boot{}, forwarder)
