--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -7,6 +7,7 @@
 
 	"github.com/baobabstack/baobabstack/internal/call"
 	"github.com/baobabstack/baobabstack/internal/clock"
+	"github.com/baobabstack/baobabstack/internal/defect"
 	"github.com/baobabstack/baobabstack/internal/policy/outcome"
 	"github.com/baobabstack/baobabstack/internal/policy/pick"
 	"github.com/baobabstack/baobabstack/internal/supervisor/servers"
@@ -45,7 +46,7 @@
 		if result.Outcome == outcome.Answered {
 			return result.Answer
 		}
-		lost = lost || result.Outcome == outcome.Unknown
+		lost = (lost && !defect.On("forget-lost-attempt")) || result.Outcome == outcome.Unknown
 		if lost && !req.Idempotent {
 			return call.Refusal(outcome.Unknown, http.StatusBadGateway, "server-lost", 0)
 		}
--- a/internal/supervisor/callers/tickets.go
+++ b/internal/supervisor/callers/tickets.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/baobabstack/baobabstack/internal/call"
+	"github.com/baobabstack/baobabstack/internal/defect"
 	"github.com/baobabstack/baobabstack/internal/lists"
 	"github.com/baobabstack/baobabstack/internal/policy/outcome"
 )
@@ -80,7 +81,7 @@
 // withoutClaim returns a refusal that claims nothing about earlier sendings: only
 // the owner of a ticket may say that a call with it was not run.
 func withoutClaim(r *http.Request, a call.Answer) call.Answer {
-	if r.Header.Get(call.HeaderTicket) == "" {
+	if r.Header.Get(call.HeaderTicket) == "" || defect.On("claim-without-owner") {
 		return a
 	}
 	return call.Refusal(outcome.Unknown, a.Status, a.Reason, a.RetryAfter)
--- a/internal/supervisor/servers/attempt.go
+++ b/internal/supervisor/servers/attempt.go
@@ -62,11 +62,15 @@
 	r := c.exchange(ctx, newHTTPRequest(req, s.Info.Address, left))
 	if r.err != nil {
 		if defect.On("connection-reuse") {
+			_ = c.raw.SetDeadline(time.Time{})
 			s.pool.put(c)
 			return Result{Outcome: outcome.Unknown, Err: r.err}
 		}
 		s.pool.discard(c)
 		s.observe(false)
+		if defect.On("lost-is-not-run") {
+			return Result{Outcome: outcome.NotRun, Err: r.err}
+		}
 		return Result{Outcome: outcome.Unknown, Err: r.err}
 	}
 	s.pool.put(c)
--- a/internal/supervisor/servers/conn.go
+++ b/internal/supervisor/servers/conn.go
@@ -72,6 +72,9 @@
 	if c.spoilt {
 		return false
 	}
+	if defect.On("unsolicited-bytes") {
+		return true
+	}
 	raw, err := c.raw.SyscallConn()
 	if err != nil {
 		return false
@@ -102,7 +105,7 @@
 	r, keep := c.read(req)
 	if r.err == nil && stop() {
 		c.lastUsed = time.Now()
-		c.spoilt = !keep || c.reader.Buffered() > 0
+		c.spoilt = !keep || (c.reader.Buffered() > 0 && !defect.On("unsolicited-bytes"))
 	}
 	return r
 }
@@ -127,7 +130,7 @@
 }
 
 func (c *conn) readBody(method string, res *http.Response) reply {
-	if res.ContentLength < 0 && len(res.TransferEncoding) == 0 && mayHaveBody(method, res.StatusCode) {
+	if res.ContentLength < 0 && len(res.TransferEncoding) == 0 && mayHaveBody(method, res.StatusCode) && !defect.On("answer-without-length") {
 		return reply{err: errors.WithStack(errNoLength)}
 	}
 	if res.ContentLength > int64(c.maxBody) {
