--- a/internal/dispatch/ticket_refusal.go
+++ b/internal/dispatch/ticket_refusal.go
@@ -29,11 +29,11 @@
 	if o == outcome.NotRun {
 		advice = retryAfter
 	}
-	return call.Refusal(o, statusOf(r), string(r), advice)
+	return call.Refusal(o, ticketStatus(r), string(r), advice)
 }
 
-// statusOf returns the HTTP status for a reason.
-func statusOf(r ticket.Reason) int {
+// ticketStatus returns the HTTP status for a reason.
+func ticketStatus(r ticket.Reason) int {
 	switch r {
 	case ticket.Invalid:
 		return http.StatusBadRequest
--- a/internal/supervisor/peers/service.go
+++ b/internal/supervisor/peers/service.go
@@ -15,6 +15,7 @@
 	"github.com/baobabstack/baobabstack/internal/logs"
 	"github.com/baobabstack/baobabstack/internal/peerwire"
 	"github.com/baobabstack/baobabstack/internal/supervisor/control"
+	"github.com/baobabstack/baobabstack/internal/supervisor/shares"
 	"github.com/baobabstack/baobabstack/internal/view"
 )
 
@@ -36,6 +37,7 @@
 	links       *Links
 	owned       *Owned
 	maxBytes    int
+	book        *shares.Book
 	log         logs.Logger
 }
 
--- a/internal/supervisor/servers/conn.go
+++ b/internal/supervisor/servers/conn.go
@@ -18,10 +18,12 @@
 // answers with net/http, whose reader leaves what follows an answer in a buffer
 // where it can be seen: nbhttp's client gives it to the next call.
 type conn struct {
-	raw      *net.TCPConn
-	limited  *io.LimitedReader // bounds the bytes of one answer
-	reader   *bufio.Reader
-	maxBody  int
+	raw     *net.TCPConn
+	limited *io.LimitedReader // bounds the bytes of one answer
+	reader  *bufio.Reader
+	maxBody int
+	opened  time.Time
+	// lastUsed is when the connection last carried an answer, or was opened.
 	lastUsed time.Time
 	// spoilt is true once the connection must not carry another call.
 	spoilt bool
@@ -63,7 +65,8 @@
 		return nil, errors.WithStack(errNotTCP)
 	}
 	limited := &io.LimitedReader{R: raw}
-	return &conn{raw: raw, limited: limited, reader: bufio.NewReader(limited), maxBody: maxBody, lastUsed: time.Now()}, nil
+	now := time.Now()
+	return &conn{raw: raw, limited: limited, reader: bufio.NewReader(limited), maxBody: maxBody, opened: now, lastUsed: now}, nil
 }
 
 // usable reports whether the connection may carry a call: nothing has come on it
@@ -92,9 +95,16 @@
 // past is a time in the past: as a deadline it ends reads and writes at once.
 var past = time.Unix(1, 0)
 
+// overdueAfter is how long an answer may take before the other connections to
+// the server are no longer trusted.
+const overdueAfter = 500 * time.Millisecond
+
 // exchange sends a request and waits for the whole answer, until the context
 // ends. From the call on, bytes of the request may have reached the server.
-func (c *conn) exchange(ctx context.Context, req *http.Request) reply {
+// Overdue is called once if the answer takes longer than overdueAfter.
+func (c *conn) exchange(ctx context.Context, req *http.Request, overdue func()) reply {
+	timer := time.AfterFunc(overdueAfter, overdue)
+	defer timer.Stop()
 	c.spoilt = !defect.On("connection-reuse")
 	stop := context.AfterFunc(ctx, func() { _ = c.raw.SetDeadline(past) })
 	defer stop()
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -20,6 +20,7 @@
 	"github.com/baobabstack/baobabstack/internal/supervisor/control"
 	"github.com/baobabstack/baobabstack/internal/supervisor/peers"
 	"github.com/baobabstack/baobabstack/internal/supervisor/servers"
+	"github.com/baobabstack/baobabstack/internal/supervisor/shares"
 	"github.com/baobabstack/baobabstack/internal/tracing"
 	"github.com/baobabstack/baobabstack/internal/view"
 )
@@ -38,20 +39,26 @@
 		return err
 	}
 	holder := &view.Holder{}
+	book := shares.NewBook(clock.Boot{})
 	ctl := control.New(s.Peers.Address, holder, servers.NewRegistry(s.Callers.MaxBodyBytes))
+	ctl.AwaitShares()
 	links := peers.NewLinks()
 	forwarder := peers.NewForwarder(links, clock.Boot{}, s.Callers.MaxBodyBytes)
 	tickets := dispatch.NewTickets(s.Entry.ID, s.Callers.MaxInFlight, holder, clock.Boot{}, forwarder)
-	dispatcher := dispatch.New(dispatch.Unlimited{}, dispatch.NewAttempts(holder, clock.Boot{}), tickets)
+	dispatcher := dispatch.New(dispatch.NewLimits(holder, clock.Boot{}, book), dispatch.NewAttempts(holder, clock.Boot{}), tickets)
 	handler := callers.NewHandler(holder, clock.Boot{}, dispatcher, s.Callers.MaxInFlight, tickets)
 	owned := peers.NewOwned(holder, clock.Boot{}, dispatcher)
+	peerService := peers.NewService(s.Peers.Address, holder, ctl, links, owned, s.Callers.MaxBodyBytes)
+	peerService.SetBook(book)
+	borrower := shares.NewService(book, holder, links, clock.Boot{}, func() bool { return ctl.Send(control.SharesUsable{}) })
 
 	root := suture.New("entry", suture.Spec{EventHook: func(e suture.Event) { log.Warnf("%s", e) }})
 	root.Add(ctl)
 	for _, name := range lists.Names() {
 		root.Add(configuration.NewWatcher(name, s.Configuration.URL, holder, ctl))
 	}
-	root.Add(peers.NewService(s.Peers.Address, holder, ctl, links, owned, s.Callers.MaxBodyBytes))
+	root.Add(peerService)
+	root.Add(borrower)
 	root.Add(admin.NewService(s.Admin.Address, holder))
 	root.Add(callers.NewService(s.Callers.Address, s.Callers.MaxBodyBytes, handler))
 
