Prove that a lost booking is not sent again

Cause: no proof covered a second server after a booking was lost at the first.

Change: TestALostBookingIsNotSentAgain, its defect repeat-lost-booking, a reason of its own for forwards that reach their deadline, benchmarks of tickets.

Measured: the defect fails the proof with '2 != 1'.

--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -116,7 +116,7 @@
 func (r *run) settles(result servers.Result) bool {
 	if result.Outcome == outcome.Unknown {
 		r.unknown = !defect.On("forget-lost-attempt")
-		return !r.req.Idempotent
+		return !r.req.Idempotent && !defect.On("repeat-lost-booking")
 	}
 	return result.Outcome == outcome.Answered
 }
--- a/internal/policy/ticket/owner_test.go
+++ b/internal/policy/ticket/owner_test.go
@@ -186,3 +186,25 @@
 		}
 	})
 }
+
+func BenchmarkMint(b *testing.B) {
+	c := testConfig()
+	c.Window = 1 << 18
+	o := NewOwner[string](c)
+	b.ReportAllocs()
+	for b.Loop() {
+		o.Mint("shipping-agents", time.Second)
+	}
+}
+
+func BenchmarkSpendAndFinish(b *testing.B) {
+	c := testConfig()
+	c.Window, c.AnswerBytes = 1<<18, 1<<20
+	o := NewOwner[string](c)
+	f := request("a")
+	b.ReportAllocs()
+	for b.Loop() {
+		d := o.Spend(o.Mint("shipping-agents", 0), "shipping-agents", f, 0)
+		o.Finish(d.Sequence, outcome.Answered, "booked", 512)
+	}
+}
--- a/internal/supervisor/peers/forward.go
+++ b/internal/supervisor/peers/forward.go
@@ -36,6 +36,7 @@
 // Reasons of answers to calls that could not be forwarded.
 const (
 	reasonUnreachable = "owner-unreachable"
+	reasonDeadline    = "deadline"
 	reasonTooMany     = "too-many-forwards"
 )
 
@@ -76,10 +77,14 @@
 	}
 	ctx, span := tracing.StartAttempt(ctx, owner.ID)
 	reply, err := f.send(ctx, owner.Address, f.wire(ctx, req), req.Deadline)
-	answer := call.Refusal(outcome.Unknown, http.StatusBadGateway, reasonUnreachable, 0)
-	if err == nil {
+	var answer call.Answer
+	switch {
+	case err == nil:
 		answer = answerOf(reply)
-	} else {
+	case f.clock.Now() >= req.Deadline:
+		answer = call.Refusal(outcome.Unknown, http.StatusGatewayTimeout, reasonDeadline, 0)
+	default:
+		answer = call.Refusal(outcome.Unknown, http.StatusBadGateway, reasonUnreachable, 0)
 		f.log.Warnf("forward to %s at %s: %v", owner.ID, owner.Address, err)
 	}
 	tracing.EndAttempt(span, answer.Outcome, err)
--- a/proof/model/tickets.go
+++ b/proof/model/tickets.go
@@ -91,7 +91,10 @@
 func (s *ticketState) Key() string {
 	var b strings.Builder
 	fmt.Fprint(&b, s.up, s.leaving, s.restarts, s.runs, s.sendings)
-	for _, request := range s.model.Sendings {
+	for i, request := range s.model.Sendings {
+		if slices.Contains(s.model.Sendings[:i], request) {
+			continue
+		}
 		d := s.owner.Clone().Spend(s.text, request.Customer, fingerprint(request), 0)
 		fmt.Fprint(&b, d.Action, d.Reason, d.Answer, d.Outcome)
 	}
--- a/proof/notrun_test.go
+++ b/proof/notrun_test.go
@@ -128,6 +128,24 @@
 	}
 }
 
+// TestALostBookingIsNotSentAgain lets every server run a booking and lose the
+// connection before it answers.
+func TestALostBookingIsNotSentAgain(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), testLimit)
+	defer cancel()
+	loses := func(c *standin.RawConn) { _, _ = c.Run() }
+	first, second := startRaw(t, "moves-1", "moves", loses), startRaw(t, "moves-2", "moves", loses)
+	fleet := rawFleet(ctx, t, 2, first, second)
+	for i := range 20 {
+		body, ticket := fmt.Sprintf("lost %d", i), ""
+		if i%2 == 0 {
+			ticket = mint(ctx, t, fleet.Entries[0])
+		}
+		assert.Equal(t, outcomeOf(book(ctx, fleet.Entries[i/2%2], ticket, body, testLimit)), "unknown")
+		assert.Equal(t, ranRaw(first, body)+ranRaw(second, body), 1, body)
+	}
+}
+
 func TestLateServerIsUnknown(t *testing.T) {
 	ctx, cancel := context.WithTimeout(t.Context(), testLimit)
 	defer cancel()
