--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -115,8 +115,8 @@
 // settles reports whether a result ends the call.
 func (r *run) settles(result servers.Result) bool {
 	if result.Outcome == outcome.Unknown {
-		r.unknown = true
-		return !r.req.Idempotent
+		r.unknown = !defect.On("forget-lost-attempt")
+		return !r.req.Idempotent && !defect.On("repeat-lost-booking")
 	}
 	return result.Outcome == outcome.Answered
 }
--- a/internal/supervisor/peers/spread_test.go
+++ b/internal/supervisor/peers/spread_test.go
@@ -37,7 +37,7 @@
 func newNode(t *testing.T, address string) *node {
 	t.Helper()
 	holder := &view.Holder{}
-	c := control.New(address, holder, servers.NewRegistry(nil), journal.New(16))
+	c := control.New(address, holder, servers.NewRegistry(1<<20), journal.New(16))
 	return &node{address: address, holder: holder, control: c, service: NewService(address, holder, c, NewLinks(), nil, lists.MaxBytes)}
 }
 
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -6,7 +6,6 @@
 	"context"
 	"time"
 
-	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
 	"github.com/thejerf/suture/v4"
 
@@ -43,15 +42,9 @@
 	}
 	budget := memory.NewBudget(s.Callers.MemoryBytes)
 	budget.CountHTTP()
-	engine, err := startEngine(s.Callers.MaxBodyBytes)
-	if err != nil {
-		return err
-	}
-	defer engine.Stop()
-
 	holder := &view.Holder{}
 	book := shares.NewBook(clock.Boot{})
-	ctl := control.New(s.Peers.Address, holder, servers.NewRegistry(engine), journal.Default())
+	ctl := control.New(s.Peers.Address, holder, servers.NewRegistry(s.Callers.MaxBodyBytes), journal.Default())
 	ctl.AwaitShares()
 	links := peers.NewLinks()
 	forwarder := peers.NewForwarder(links, clock.Boot{}, s.Callers.MaxBodyBytes)
@@ -89,16 +82,6 @@
 	}
 }
 
-// startEngine starts the engine of the connections to servers.
-func startEngine(maxBodyBytes int) (*nbhttp.Engine, error) {
-	engine := nbhttp.NewEngine(nbhttp.Config{
-		Name: "servers", ReadLimit: maxBodyBytes + 1<<16, MaxHTTPBodySize: maxBodyBytes,
-		ServerExecutor: func(f func()) { go f() }, ClientExecutor: func(f func()) { go f() },
-	})
-	err := engine.Start()
-	return engine, errors.Wrap(err, "supervisor: start the servers' engine")
-}
-
 // waiter is a part with calls in flight.
 type waiter interface{ Wait() }
 
