--- a/internal/httpserver/head.go
+++ b/internal/httpserver/head.go
@@ -51,7 +51,7 @@
 	refuseMalformed = &refusal{http.StatusBadRequest, "malformed"}
 	refuseSlow      = &refusal{http.StatusRequestTimeout, "request-too-slow"}
 	refusePipeline  = &refusal{http.StatusServiceUnavailable, "pipeline-full"}
-	refuseMemory    = &refusal{http.StatusServiceUnavailable, "memory-full"}
+	refuseMemory    = &refusal{http.StatusServiceUnavailable, "memory"}
 )
 
 var crlf = []byte("\r\n")
--- a/internal/standin/cluster.go
+++ b/internal/standin/cluster.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -115,16 +114,6 @@
 	return lists.VM{ID: e.ID, Address: e.Peers, DataCentre: "modjo", State: lists.Live}
 }
 
-// FreeAddress returns a loopback address with a port that is free now.
-func FreeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.WithStack(err)
-	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
-}
-
 // Response is a caller's view of an answer.
 type Response struct {
 	// Status is the HTTP status.
--- a/internal/supervisor/servers/attempt.go
+++ b/internal/supervisor/servers/attempt.go
@@ -85,10 +85,14 @@
 	r := c.exchange(ctx, newHTTPRequest(req, s.Info.Address, left), func() { s.pool.suspect(sentAt) })
 	if r.err != nil {
 		if defect.On("connection-reuse") {
+			_ = c.raw.SetDeadline(time.Time{})
 			s.pool.put(c)
 			return Result{Outcome: outcome.Unknown, Err: r.err}, pick.Failed
 		}
 		s.pool.discard(c)
+		if defect.On("lost-is-not-run") {
+			return Result{Outcome: outcome.NotRun, Err: r.err}, pick.Failed
+		}
 		return Result{Outcome: outcome.Unknown, Err: r.err}, pick.Failed
 	}
 	s.learn(r.header)
--- a/internal/supervisor/servers/pool.go
+++ b/internal/supervisor/servers/pool.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
 
 	"github.com/baobabstack/baobabstack/internal/defect"
@@ -17,7 +16,7 @@
 // pool holds the connections of this entry to one server. Calls that find all
 // of them in use wait in the order in which they came.
 type pool struct {
-	engine  *nbhttp.Engine
+	maxBody int
 	address string
 
 	mu      sync.Mutex
@@ -37,8 +36,8 @@
 	err error
 }
 
-func newPool(engine *nbhttp.Engine, address string, limit int) *pool {
-	return &pool{engine: engine, address: address, limit: limit}
+func newPool(maxBody int, address string, limit int) *pool {
+	return &pool{maxBody: maxBody, address: address, limit: limit}
 }
 
 // setLimit bounds the open connections from now on.
@@ -64,7 +63,7 @@
 	if c != nil {
 		return c, nil
 	}
-	c, err = dial(ctx, p.engine, p.address)
+	c, err = dial(ctx, p.maxBody, p.address)
 	if err != nil {
 		p.release()
 		return nil, err
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -6,12 +6,12 @@
 	"context"
 	"time"
 
-	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
 	"github.com/thejerf/suture/v4"
 
 	"github.com/baobabstack/baobabstack/internal/clock"
 	"github.com/baobabstack/baobabstack/internal/dispatch"
+	"github.com/baobabstack/baobabstack/internal/journal"
 	"github.com/baobabstack/baobabstack/internal/lists"
 	"github.com/baobabstack/baobabstack/internal/logs"
 	"github.com/baobabstack/baobabstack/internal/memory"
@@ -40,15 +40,9 @@
 	}
 	budget := memory.NewBudget(s.Callers.MemoryBytes)
 	budget.CountHTTP()
-	engine, err := startEngine(s.Callers.MaxBodyBytes)
-	if err != nil {
-		return err
-	}
-	defer engine.Stop()
-
 	holder := &view.Holder{}
 	book := shares.NewBook(clock.Boot{})
-	ctl := control.New(s.Peers.Address, holder, servers.NewRegistry(engine))
+	ctl := control.New(s.Peers.Address, holder, servers.NewRegistry(s.Callers.MaxBodyBytes), journal.Default())
 	ctl.AwaitShares()
 	links := peers.NewLinks()
 	forwarder := peers.NewForwarder(links, clock.Boot{}, s.Callers.MaxBodyBytes)
@@ -61,10 +55,8 @@
 
 	root := suture.New("entry", suture.Spec{EventHook: func(e suture.Event) { log.Warnf("%s", e) }})
 	root.Add(ctl)
-	for _, name := range lists.Names() {
-		root.Add(configuration.NewWatcher(name, s.Configuration.URL, holder, ctl))
-	}
 	root.Add(peerService)
+	addWatchers(root, s, holder, ctl, peerService)
 	root.Add(shares.NewService(book, holder, links, clock.Boot{}, func() bool { return ctl.Send(control.SharesUsable{}) }))
 	operators := admin.NewService(s.Admin.Address, holder)
 	root.Add(operators)
@@ -94,12 +86,10 @@
 	}
 }
 
-// startEngine starts the engine of the connections to servers.
-func startEngine(maxBodyBytes int) (*nbhttp.Engine, error) {
-	engine := nbhttp.NewEngine(nbhttp.Config{
-		Name: "servers", ReadLimit: maxBodyBytes + 1<<16, MaxHTTPBodySize: maxBodyBytes,
-		ServerExecutor: func(f func()) { go f() }, ClientExecutor: func(f func()) { go f() },
-	})
-	err := engine.Start()
-	return engine, errors.Wrap(err, "supervisor: start the servers' engine")
+// addWatchers adds a watcher of each list.
+func addWatchers(root *suture.Supervisor, s *settings.Settings, holder *view.Holder, ctl *control.Control, p *peers.Service) {
+	source := configuration.Source{URL: s.Configuration.URL, Self: s.Peers.Address, DigestAge: p.DigestAge}
+	for _, name := range lists.Names() {
+		root.Add(configuration.NewWatcher(name, source, holder, ctl))
+	}
 }
