Serve callers over TLS and replace the key without a restart

Cause: callers.tls was read and not used.

Change: the listener serves TLS by the library that nbhttp brings.

Shown: the TestTLS tests of internal/supervisor/callers, with certificates made in the tests.

--- a/internal/supervisor/callers/service.go
+++ b/internal/supervisor/callers/service.go
@@ -17,16 +17,23 @@
 	draining atomic.Bool
 }
 
-// NewService returns the service of a handler.
-func NewService(s settings.Callers, h *Handler) *Service {
+// NewService returns the service of a handler. It fails if the certificate
+// can't be read.
+func NewService(s settings.Callers, h *Handler) (*Service, error) {
+	log := logs.For("callers")
+	config, err := newTLSConfig(s.TLS, log)
+	if err != nil {
+		return nil, err
+	}
 	return &Service{
 		options: httpserver.Options{
 			Name: "callers", Address: s.Address, Handler: h,
 			MaxBodyBytes: s.MaxBodyBytes, MemoryBytes: s.MemoryBytes,
 			RequestTimeout: s.RequestTimeout.Duration, WriteTimeout: s.WriteTimeout.Duration, IdleTimeout: s.IdleTimeout.Duration,
+			TLS: config,
 		},
-		log: logs.For("callers"),
-	}
+		log: log,
+	}, nil
 }
 
 // Serve listens until the context ends.
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -60,7 +60,10 @@
 	root.Add(shares.NewService(book, holder, links, clock.Boot{}, func() bool { return ctl.Send(control.SharesUsable{}) }))
 	operators := admin.NewService(s.Admin.Address, holder)
 	root.Add(operators)
-	front := callers.NewService(s.Callers, handler)
+	front, err := callers.NewService(s.Callers, handler)
+	if err != nil {
+		return err
+	}
 	root.Add(front)
 
 	leave := &stopper{settings: s.Stop, control: ctl, holder: holder, unready: operators.SetUnready, callers: front, owned: tickets, log: log}
