--- a/internal/supervisor/peers/links.go
+++ b/internal/supervisor/peers/links.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 
@@ -34,6 +35,8 @@
 
 // Links holds one gRPC connection to each peer. It is safe for concurrent use.
 type Links struct {
+	credentials credentials.TransportCredentials
+
 	mu    sync.Mutex
 	links map[string]*link
 }
@@ -46,7 +49,12 @@
 }
 
 // NewLinks returns links without connections.
-func NewLinks() *Links { return &Links{links: make(map[string]*link)} }
+func NewLinks() *Links {
+	return &Links{links: make(map[string]*link), credentials: insecure.NewCredentials()}
+}
+
+// Secure makes links use mutual TLS. It must be called before the first link.
+func (l *Links) Secure(i *Identity) { l.credentials = i.Credentials() }
 
 // Client returns a client of the peer at the address; its connection is opened
 // on first use.
@@ -65,7 +73,7 @@
 	if known, ok := l.links[address]; ok {
 		return known.conn, nil
 	}
-	conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()),
+	conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(l.credentials),
 		grpc.WithConnectParams(connectParams), grpc.WithKeepaliveParams(keepaliveParams),
 		grpc.WithStatsHandler(byteCounter{}))
 	if err != nil {
--- a/internal/supervisor/peers/service.go
+++ b/internal/supervisor/peers/service.go
@@ -32,6 +32,7 @@
 // Service runs the peers' listener and the exchange of digests.
 type Service struct {
 	peerwire.UnimplementedPeersServer
+	identity    *Identity
 	address     string
 	incarnation []byte
 	holder      *view.Holder
@@ -59,14 +60,22 @@
 	return s
 }
 
+// Secure makes the listener use mutual TLS. It must be called before Serve.
+func (s *Service) Secure(i *Identity) { s.identity = i }
+
 // Serve listens and exchanges digests until the context ends.
 func (s *Service) Serve(ctx context.Context) error {
 	listener, err := net.Listen("tcp", s.address)
 	if err != nil {
 		return errors.Wrapf(err, "peers: listen on %s", s.address)
 	}
-	server := grpc.NewServer(grpc.MaxRecvMsgSize(s.maxBytes), grpc.KeepaliveEnforcementPolicy(enforcement),
-		grpc.StatsHandler(byteCounter{}))
+	options := []grpc.ServerOption{
+		grpc.MaxRecvMsgSize(s.maxBytes), grpc.KeepaliveEnforcementPolicy(enforcement), grpc.StatsHandler(byteCounter{}),
+	}
+	if s.identity != nil {
+		options = append(options, grpc.Creds(s.identity.Credentials()), grpc.ChainUnaryInterceptor(listedOnly(s.holder)))
+	}
+	server := grpc.NewServer(options...)
 	peerwire.RegisterPeersServer(server, s)
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -52,6 +52,9 @@
 	owned := peers.NewOwned(holder, clock.Boot{}, dispatcher)
 	peerService := peers.NewService(s.Peers.Address, holder, ctl, links, owned, s.Callers.MaxBodyBytes)
 	peerService.SetBook(book)
+	if err := secure(s.Peers.TLS, links, peerService); err != nil {
+		return err
+	}
 
 	root := suture.New("entry", suture.Spec{EventHook: func(e suture.Event) { log.Warnf("%s", e) }})
 	root.Add(ctl)
@@ -76,6 +79,17 @@
 	return nil
 }
 
+// secure switches mutual TLS between entries on, if files are named.
+func secure(files settings.TLS, links *peers.Links, service *peers.Service) error {
+	identity, err := peers.NewIdentity(files)
+	if err != nil || identity == nil {
+		return err
+	}
+	links.Secure(identity)
+	service.Secure(identity)
+	return nil
+}
+
 // runTree runs the tree until the context ends and stops it after the drain.
 func runTree(ctx context.Context, root *suture.Supervisor, log logs.Logger, drain func()) {
 	treeCtx, stopTree := context.WithCancel(context.WithoutCancel(ctx))
