Measure what one entry adds to a call

Change: bench/hop sends lookups on a fixed schedule at 1,000, 5,000 and 10,000 calls/s, in turns direct to a server and through one entry process, and reports the difference at p50 and p99 and the calls per core-second of the entry.

--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/baobabstack/baobabstack/bench/capacity"
+	"github.com/baobabstack/baobabstack/bench/hop"
 	"github.com/baobabstack/baobabstack/bench/limits"
 	"github.com/baobabstack/baobabstack/bench/policy"
 	"github.com/baobabstack/baobabstack/bench/report"
@@ -27,6 +28,7 @@
 	storm.Measure,
 	capacity.Measure(),
 	limits.Measure(),
+	hop.Measure,
 }
 
 type options struct {
