--- a/internal/supervisor/servers/attempt.go
+++ b/internal/supervisor/servers/attempt.go
@@ -77,13 +77,17 @@
 // send writes the request unless it is too late, and waits for the answer.
 func (s *Server) send(ctx context.Context, clk clock.Clock, req *call.Request, c *conn) (Result, pick.End) {
 	left := req.Deadline - clk.Now()
-	if left <= 0 || ctx.Err() != nil {
+	if (left <= 0 || ctx.Err() != nil) && !defect.On("attempt-deadline") {
 		s.pool.put(c)
 		return Result{Outcome: outcome.NotRun, Err: errors.WithStack(errLate)}, pick.Cancelled
 	}
 	sentAt := time.Now()
 	r := c.exchange(ctx, newHTTPRequest(req, s.Info.Address, left), func() { s.pool.suspect(sentAt) })
 	if r.err != nil {
+		if defect.On("connection-reuse") {
+			s.pool.put(c)
+			return Result{Outcome: outcome.Unknown, Err: r.err}, pick.Failed
+		}
 		s.pool.discard(c)
 		return Result{Outcome: outcome.Unknown, Err: r.err}, pick.Failed
 	}
--- a/internal/supervisor/servers/conn.go
+++ b/internal/supervisor/servers/conn.go
@@ -16,7 +16,7 @@
 // conn is one connection to a server; it carries one call at a time.
 type conn struct {
 	client *nbhttp.ClientConn
-	raw    net.Conn // the client takes it over at the first exchange
+	raw    net.Conn // the client takes it over with the first call
 	opened time.Time
 	// lastUsed is when the connection last carried an answer, or was opened.
 	lastUsed time.Time
@@ -77,6 +77,7 @@
 	}
 }
 
+// close closes the connection, also if it never carried a call.
 func (c *conn) close() {
 	c.client.Close()
 	_ = c.raw.Close()
--- a/proof/drain_server_test.go
+++ b/proof/drain_server_test.go
@@ -34,7 +34,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
 	fleet := startFleet(ctx, t, standin.FleetOptions{Entries: 2})
-	callers := startLoad(t, fleet, 16, time.Millisecond)
+	callers := startTraffic(t, fleet, 16, time.Millisecond)
 	leaving := []*standin.RunningServer{fleet.Servers["stock-1"], fleet.Servers["moves-1"]}
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		for _, s := range leaving {
@@ -76,7 +76,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
 	fleet := startFleet(ctx, t, standin.FleetOptions{Entries: 1, Allowances: allowances(2, 8, 4)})
-	callers := startLoad(t, fleet, 8, time.Millisecond)
+	callers := startTraffic(t, fleet, 8, time.Millisecond)
 	s := fleet.Servers["stock-1"]
 	s.SetLeaving(true)
 	waitFor(t, "stock-1 to be left out", func() bool {
--- a/proof/measuring_test.go
+++ b/proof/measuring_test.go
@@ -53,7 +53,7 @@
 	fleet := startFleet(ctx, t, standin.FleetOptions{Entries: entries, Allowances: allowances(entries, 8, perSecond)})
 	fleet.Platform.Publish("vms", standin.SampleVMs([]lists.VM{fleet.Entries[0].VM()}))
 	for range 2 {
-		callers := startLoad(t, fleet, 16, 0)
+		callers := startTraffic(t, fleet, 16, 0)
 		time.Sleep(500 * time.Millisecond)
 		callers.stop()
 		time.Sleep(5 * time.Second)
@@ -77,7 +77,7 @@
 		s.SetSlow(10)
 	}
 	for range 2 {
-		callers := startLoad(t, fleet, 64, 0)
+		callers := startTraffic(t, fleet, 64, 0)
 		waitFor(t, "answers", func() bool { return callers.answered() > 200 })
 		tally := callers.stop()
 		assert.Equal(t, tally["GET 200 answered"]+tally["POST 200 answered"], sum(tally), "%v", tally)
--- a/proof/load_test.go
+++ b/proof/traffic_test.go
@@ -13,8 +13,8 @@
 	"github.com/baobabstack/baobabstack/internal/standin"
 )
 
-// load is a set of callers that call entries until it is stopped.
-type load struct {
+// traffic is a set of callers that call entries until it is stopped.
+type traffic struct {
 	cancel context.CancelFunc
 	wait   sync.WaitGroup
 
@@ -22,11 +22,11 @@
 	tally map[string]int // answers by operation, status and outcome
 }
 
-// startLoad starts callers of lookups and bookings, spread over the entries.
-func startLoad(t *testing.T, fleet *standin.Fleet, callers int, pause time.Duration) *load {
+// startTraffic starts callers of lookups and bookings, spread over the entries.
+func startTraffic(t *testing.T, fleet *standin.Fleet, callers int, pause time.Duration) *traffic {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.WithoutCancel(t.Context()))
-	l := &load{cancel: cancel, tally: make(map[string]int)}
+	l := &traffic{cancel: cancel, tally: make(map[string]int)}
 	for i := range callers {
 		l.wait.Go(func() { l.call(ctx, fleet.Entries[i/2%len(fleet.Entries)], i, pause) })
 	}
@@ -34,7 +34,7 @@
 	return l
 }
 
-func (l *load) call(ctx context.Context, e *standin.EntryProcess, caller int, pause time.Duration) {
+func (l *traffic) call(ctx context.Context, e *standin.EntryProcess, caller int, pause time.Duration) {
 	for n := 0; ctx.Err() == nil; n++ {
 		method, path := http.MethodGet, "/stock/lookup"
 		if caller%2 == 1 {
@@ -54,7 +54,7 @@
 }
 
 // stop ends the callers after their calls and returns the answers counted.
-func (l *load) stop() map[string]int {
+func (l *traffic) stop() map[string]int {
 	l.cancel()
 	l.wait.Wait()
 	l.mu.Lock()
@@ -63,7 +63,7 @@
 }
 
 // answered returns the number of answers so far.
-func (l *load) answered() int {
+func (l *traffic) answered() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.tally["GET 200 answered"] + l.tally["POST 200 answered"]
