--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -65,11 +65,8 @@
 	for _, name := range lists.Names() {
 		root.Add(configuration.NewWatcher(name, s.Configuration.URL, holder, ctl))
 	}
-	root.Add(prober.NewService(holder, clock.Boot{}))
-	root.Add(peerService)
-	root.Add(borrower)
-	root.Add(admin.NewService(s.Admin.Address, holder))
-	root.Add(callers.NewService(s.Callers.Address, s.Callers.MaxBodyBytes, handler))
+	add(root, prober.NewService(holder, clock.Boot{}), peerService, borrower, admin.NewService(s.Admin.Address, holder),
+		callers.NewService(s.Callers.Address, s.Callers.MaxBodyBytes, handler))
 
 	treeCtx, stopTree := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopTree()
@@ -85,6 +82,12 @@
 	return stopTracing(flushCtx)
 }
 
+func add(root *suture.Supervisor, children ...suture.Service) {
+	for _, child := range children {
+		root.Add(child)
+	}
+}
+
 // startEngine runs the connections to servers.
 func startEngine(maxBodyBytes int) (*nbhttp.Engine, error) {
 	engine := nbhttp.NewEngine(nbhttp.Config{
