--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -49,11 +49,17 @@
 			r.repeat(ctx, result)
 		case <-hedge.C:
 			r.hedge(ctx)
+			hedge.Reset(resendAfter)
 		}
 	}
 	return r.giveUp()
 }
 
+// resendAfter is the time from one hedge to the next. It is longer than the time
+// after which the servers package stops to trust the connections beside one
+// without an answer, so that the next attempt goes over a connection that works.
+const resendAfter = servers.OverdueAfter + 100*time.Millisecond
+
 // run is the state of one call's attempts.
 type run struct {
 	*Attempts
@@ -145,18 +151,24 @@
 	}
 }
 
-// hedge makes a second attempt beside a slow first one.
+// hedge makes another attempt beside slow ones: at another server, or over
+// another connection if all were tried.
 func (r *run) hedge(ctx context.Context) {
 	if !r.req.Idempotent && !defect.On("hedge-of-bookings") {
 		return
 	}
-	if r.count > 1 || r.late(ctx) {
+	if r.count == maxAttempts || r.late(ctx) {
 		return
 	}
 	if !r.budgets.takeHedge() {
 		extraRefused.Inc()
 		return
 	}
+	if r.launch(ctx) {
+		hedges.Inc()
+		return
+	}
+	r.tried = [maxAttempts]*servers.Server{}
 	if r.launch(ctx) {
 		hedges.Inc()
 	}
--- a/internal/supervisor/servers/attempt.go
+++ b/internal/supervisor/servers/attempt.go
@@ -83,6 +83,9 @@
 	}
 	sentAt := time.Now()
 	r := c.exchange(ctx, newHTTPRequest(req, s.Info.Address, left), func() { s.pool.suspect(sentAt) })
+	if errors.Is(r.err, context.DeadlineExceeded) {
+		s.pool.suspect(sentAt)
+	}
 	if r.err != nil {
 		if defect.On("connection-reuse") {
 			s.pool.put(c)
--- a/internal/supervisor/servers/conn.go
+++ b/internal/supervisor/servers/conn.go
@@ -50,19 +50,19 @@
 	return c, nil
 }
 
-// overdueAfter is how long an answer may take before the other connections to
+// OverdueAfter is how long an answer may take before the other connections to
 // the server are no longer trusted.
-const overdueAfter = 500 * time.Millisecond
+const OverdueAfter = 500 * time.Millisecond
 
 // exchange sends a request and waits for the whole answer. From the call on,
 // bytes of the request may have reached the server. Overdue is called once if
-// the answer takes longer than overdueAfter.
+// the answer takes longer than OverdueAfter.
 func (c *conn) exchange(ctx context.Context, req *http.Request, overdue func()) reply {
 	done := make(chan reply, 1)
 	c.client.Do(req, func(res *http.Response, _ net.Conn, err error) {
 		done <- readReply(req.Method, res, err)
 	})
-	timer := time.NewTimer(overdueAfter)
+	timer := time.NewTimer(OverdueAfter)
 	defer timer.Stop()
 	for {
 		select {
