Close connections on which a server sends what no call waits for

Cause: the library drops an answer that no call waits for, and gives one whose end comes after the next call has begun to that call. A server that sends two answers in one write made call 4 of the new test get the second answer to an earlier call; bytes on an idle connection went unseen.

Change: a watch between each connection and the library counts the answers that begin; it lets a call end only when the bytes that came together with its answer are parsed. A connection with more answers than calls is closed, and so is an idle one as soon as a byte comes.

Not covered: a second answer that the server sends after it got the next request can't be told from that request's answer in HTTP/1.1.

--- a/internal/supervisor/servers/conn.go
+++ b/internal/supervisor/servers/conn.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
 )
@@ -16,11 +17,13 @@
 // conn is one connection to a server; it carries one call at a time.
 type conn struct {
 	client *nbhttp.ClientConn
-	raw    net.Conn // the client takes it over with the first call
+	raw    net.Conn   // the client takes it over with the first call
+	nb     *nbio.Conn // raw as the client uses it; set by the first call
 	opened time.Time
 	// lastUsed is when the connection last carried an answer, or was opened.
 	lastUsed time.Time
 	closed   atomic.Bool
+	watch    watch
 }
 
 // usable reports whether neither side has closed the connection.
@@ -40,13 +43,14 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to %s", address)
 	}
-	client := &nbhttp.ClientConn{
-		Engine: engine,
-		Dial:   func(_, _ string) (net.Conn, error) { return raw, nil },
-	}
 	now := time.Now()
-	c := &conn{client: client, raw: raw, opened: now, lastUsed: now}
-	client.OnClose(func() { c.closed.Store(true) })
+	c := &conn{raw: raw, opened: now, lastUsed: now}
+	c.client = &nbhttp.ClientConn{Engine: engine, Dial: func(_, _ string) (net.Conn, error) {
+		nb, err := nbio.NBConn(raw)
+		c.nb = nb
+		return nb, err
+	}}
+	c.client.OnClose(func() { c.closed.Store(true) })
 	return c, nil
 }
 
@@ -59,15 +63,23 @@
 // the answer takes longer than OverdueAfter.
 func (c *conn) exchange(ctx context.Context, req *http.Request, overdue func()) reply {
 	done := make(chan reply, 1)
+	c.watch.start()
+	first := c.nb == nil
 	c.client.Do(req, func(res *http.Response, _ net.Conn, err error) {
 		done <- readReply(req.Method, res, err)
 	})
+	if first && c.nb != nil {
+		c.watchAnswers()
+	}
 	timer := time.NewTimer(OverdueAfter)
 	defer timer.Stop()
 	for {
 		select {
 		case r := <-done:
 			c.lastUsed = time.Now()
+			if !c.watch.end() {
+				c.close()
+			}
 			return r
 		case <-timer.C:
 			overdue()
