Make the noisy customer's proof fail without fair queues again

With the entry's part at twice the slots a first-in-first-out queue of 96 calls drains in 1.6 s, less than the 2 s that a call may wait, so the defect passed.

--- a/proof/noisy_test.go
+++ b/proof/noisy_test.go
@@ -39,10 +39,10 @@
 // the servers can run, all of it within its allowance, and checks that none of
 // another customer's calls is refused.
 func TestNoisyCustomerCostsAnotherNoCall(t *testing.T) {
-	const noisyCallers, quietCalls = 400, 30
+	const noisyCallers, quietCalls = 400, 12
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
-	slow := standin.ServerOptions{ID: "stock-1", Slots: 6, Queue: 100, Work: 100 * time.Millisecond}
+	slow := standin.ServerOptions{ID: "stock-1", Slots: 6, Queue: 100, Work: 200 * time.Millisecond}
 	fleet := startFleet(ctx, t, standin.FleetOptions{
 		Entries: 1, Plans: noisyPlans(),
 		Allowances: bytes.Replace(limitedAllowances(60000, 30000, 30000), []byte(`deadline = "1s"`), []byte(`deadline = "4s"`), 1),
