--- a/bench/limits/wire.go
+++ b/bench/limits/wire.go
@@ -80,7 +80,7 @@
 	go func() { _ = server.Serve(countingListener{Listener: listener, bytes: &bytes}) }()
 	defer server.Stop()
 	links := peers.NewLinks()
-	defer links.Keep(nil)
+	defer links.Close()
 	for i := range borrowRequests {
 		ctx, cancel := context.WithTimeout(context.Background(), borrowLimit)
 		_, err := links.Borrow(ctx, listener.Addr().String(), &peerwire.BorrowRequest{
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -28,6 +28,9 @@
 	Plans, Allowances []byte
 	// CallersSettings holds further lines of each entry's [callers] table.
 	CallersSettings string
+	// PlatformEach gives each entry a configuration service of its own, so that a
+	// test can cut or age it.
+	PlatformEach bool
 	// PlatformFor returns the configuration service of the entry with the given
 	// index, or nil for the fleet's own. The caller publishes its lists.
 	PlatformFor func(entry int) *Platform
@@ -46,6 +49,9 @@
 	Platform *Platform
 	// PlatformURL is its base URL.
 	PlatformURL string
+	// Platforms holds all configuration services, in the order of the entries if
+	// each has its own; the first is Platform.
+	Platforms []*Platform
 	// Servers holds the fake servers by id.
 	Servers map[string]*RunningServer
 	// Entries holds the entries in order.
@@ -92,6 +98,12 @@
 	}
 	f.http = append(f.http, server)
 	f.PlatformURL = "http://" + address
+	f.Platforms = []*Platform{f.Platform}
+	if f.options.PlatformEach {
+		for range f.options.Entries - 1 {
+			f.Platforms = append(f.Platforms, NewPlatform())
+		}
+	}
 	for service, options := range f.options.Servers {
 		for _, o := range options {
 			if err := f.addServer(service, o); err != nil {
@@ -122,10 +134,7 @@
 	f.platforms = make(map[string]string)
 	for i, e := range f.Entries {
 		f.platforms[e.ID] = f.PlatformURL
-		if f.options.PlatformFor == nil {
-			continue
-		}
-		platform := f.options.PlatformFor(i)
+		platform := f.platformOf(i)
 		if platform == nil {
 			continue
 		}
@@ -139,6 +148,27 @@
 	return nil
 }
 
+// platformOf returns the platform of an entry if it has one of its own that is
+// not served yet.
+func (f *Fleet) platformOf(i int) *Platform {
+	if f.options.PlatformFor != nil {
+		return f.options.PlatformFor(i)
+	}
+	if f.options.PlatformEach && i > 0 {
+		return f.Platforms[i]
+	}
+	return nil
+}
+
+// Publish publishes the next version of a list at all configuration services and
+// returns the version at the first.
+func (f *Fleet) Publish(name lists.Name, body []byte) uint64 {
+	for _, platform := range f.Platforms[1:] {
+		platform.Publish(string(name), body)
+	}
+	return f.Platform.Publish(string(name), body)
+}
+
 func (f *Fleet) addServer(service string, o ServerOptions) error {
 	s := NewServer(o)
 	server, address, err := listen(s.Handler())
@@ -158,8 +188,8 @@
 	if allowances == nil {
 		allowances = SampleAllowances()
 	}
-	f.Platform.Publish(string(lists.PlansName), plans)
-	f.Platform.Publish(string(lists.AllowancesName), allowances)
+	f.Publish(lists.PlansName, plans)
+	f.Publish(lists.AllowancesName, allowances)
 	f.PublishServers()
 	f.PublishVMs()
 }
@@ -170,7 +200,7 @@
 	for _, s := range f.Servers {
 		list = append(list, s.Info)
 	}
-	f.Platform.Publish(string(lists.ServersName), SampleServers(list))
+	f.Publish(lists.ServersName, SampleServers(list))
 }
 
 // PublishVMs publishes the list of all entries as live.
@@ -179,7 +209,7 @@
 	for _, e := range f.Entries {
 		list = append(list, e.VM())
 	}
-	f.Platform.Publish(string(lists.VMsName), SampleVMs(list))
+	f.Publish(lists.VMsName, SampleVMs(list))
 }
 
 func (f *Fleet) startEntries(ctx context.Context) error {
