Give in-process test entries loopback addresses of their own

Cause: TestOneReaderServesFortyEntries failed once in a run of all tests. An outgoing connection of one node had taken the port that another was about to listen on (seen with the error of Serve reported: bind: address already in use).

--- a/internal/cli/check_test.go
+++ b/internal/cli/check_test.go
@@ -52,9 +52,9 @@
 
 func TestCheckNamesFileLineKeyAndRemedy(t *testing.T) {
 	plans, allowances := string(standin.SamplePlans()), string(standin.SampleAllowances())
-	replace := func(text, old, new string) string {
-		assert.Assert(t, strings.Contains(text, old), old)
-		return strings.Replace(text, old, new, 1)
+	replace := func(text, from, to string) string {
+		assert.Assert(t, strings.Contains(text, from), from)
+		return strings.Replace(text, from, to, 1)
 	}
 	for _, c := range []struct{ flag, text, want string }{
 		{"settings", settingsText + "retries = 3\n", `settings.toml:12: configuration.retries: is an unknown key; remove it or correct its spelling`},
--- a/internal/supervisor/peers/spread_test.go
+++ b/internal/supervisor/peers/spread_test.go
@@ -1,9 +1,9 @@
 package peers
 
 import (
-	"context"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -41,20 +41,32 @@
 	return &node{address: address, holder: holder, control: c, service: NewService(address, holder, c, NewLinks(), nil, lists.MaxBytes)}
 }
 
-func (n *node) start(ctx context.Context) {
+// start runs the node until the test ends.
+func (n *node) start(t *testing.T) {
+	ctx := t.Context()
 	go func() { _ = n.control.Serve(ctx) }()
-	go func() { _ = n.service.Serve(ctx) }()
+	go func() {
+		if err := n.service.Serve(ctx); ctx.Err() == nil {
+			t.Errorf("%s ended early: %v", n.address, err)
+		}
+	}()
 }
 
 func (n *node) give(name lists.Name, version uint64, body []byte) {
 	n.control.Send(control.ListArrived{Name: name, Version: version, Body: body, Source: "test"})
 }
 
+var lastAddress atomic.Uint32
+
+// freeAddress returns an address with a loopback IP of its own, so that no
+// outgoing connection, which comes from 127.0.0.1, can take its port.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	address, err := standin.FreeAddress()
+	n := lastAddress.Add(1)
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.77.%d.%d:0", n/250, 1+n%250))
 	assert.NilError(t, err)
-	return address
+	defer listener.Close()
+	return listener.Addr().String()
 }
 
 func vmList(addresses ...string) []byte {
@@ -85,7 +97,7 @@
 	var nodes []*node
 	for _, address := range addresses {
 		n := newNode(t, address)
-		n.start(t.Context())
+		n.start(t)
 		n.give(lists.VMsName, 1, vmList(addresses...))
 		n.give(lists.PlansName, 1, standin.SamplePlans())
 		n.give(lists.AllowancesName, 1, standin.SampleAllowances())
@@ -120,7 +132,7 @@
 func started(t *testing.T, peer string) time.Duration {
 	t.Helper()
 	n := newNode(t, freeAddress(t))
-	n.start(t.Context())
+	n.start(t)
 	begin := time.Now()
 	n.give(lists.VMsName, 1, vmList(n.address, peer))
 	n.give(lists.PlansName, 1, standin.SamplePlans())
@@ -148,7 +160,7 @@
 
 func TestDigestFromOutsideTheVMListOpensNoConnection(t *testing.T) {
 	n := newNode(t, freeAddress(t))
-	n.start(t.Context())
+	n.start(t)
 	n.give(lists.VMsName, 1, vmList(n.address))
 	eventually(t, "the VM list", func() bool { return n.holder.Load().VMs != nil })
 	age := n.service.DigestAge()
@@ -169,8 +181,8 @@
 	relay, err := standin.NewRelay(source.address)
 	assert.NilError(t, err)
 	defer relay.Close()
-	source.start(t.Context())
-	reader.start(t.Context())
+	source.start(t)
+	reader.start(t)
 	source.give(lists.VMsName, 1, vmList(source.address))
 	reader.give(lists.VMsName, 1, vmList(reader.address, relay.Address))
 	source.give(lists.AllowancesName, 1, standin.SampleAllowances())
