--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/baobabstack/baobabstack/bench/capacity"
+	"github.com/baobabstack/baobabstack/bench/limits"
 	"github.com/baobabstack/baobabstack/bench/policy"
 	"github.com/baobabstack/baobabstack/bench/report"
 	"github.com/baobabstack/baobabstack/bench/storm"
@@ -25,6 +26,7 @@
 	policy.Measure,
 	storm.Measure,
 	capacity.Measure(),
+	limits.Measure(),
 }
 
 type options struct {
--- a/internal/dispatch/queues.go
+++ b/internal/dispatch/queues.go
@@ -28,19 +28,23 @@
 
 var queueWait = metrics.NewHistogram("baobab_queue_wait_seconds")
 
-func (s *queues) of(service string, places int) *queue {
+func (s *queues) of(service string, bounds admit.Bounds) *queue {
 	if q, ok := s.services.Load(service); ok {
 		return q.(*queue)
 	}
-	q, _ := s.services.LoadOrStore(service, &queue{clock: s.clock, policy: admit.NewQueue(places)})
+	q, _ := s.services.LoadOrStore(service, &queue{clock: s.clock, policy: admit.NewQueue(bounds)})
 	return q.(*queue)
 }
 
 // enter takes a place at the service, for which the call may wait, and returns
-// the function that leaves it, or a refusal.
-func (s *queues) enter(ctx context.Context, req *call.Request, priority, places int) (func(), *call.Answer) {
-	q := s.of(req.Service, places)
-	ticket, verdict, wait := q.arrive(req, priority, places)
+// the function that leaves it, or a refusal. When all places are taken, widen
+// returns the bounds by what the servers report.
+func (s *queues) enter(ctx context.Context, req *call.Request, priority int, bounds admit.Bounds, widen func(running int) admit.Bounds) (func(), *call.Answer) {
+	q := s.of(req.Service, bounds)
+	if running := q.running(); running >= bounds.Running {
+		bounds = widen(running)
+	}
+	ticket, verdict, wait := q.arrive(req, priority, bounds)
 	switch verdict {
 	case admit.Run:
 		return q.leaver(), nil
@@ -59,12 +63,18 @@
 // minRetryAfter is the least advice given with a refusal for load.
 const minRetryAfter = 50 * time.Millisecond
 
-func (q *queue) arrive(req *call.Request, priority, places int) (*admit.Ticket, admit.Verdict, time.Duration) {
+func (q *queue) running() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.policy.Running()
+}
+
+func (q *queue) arrive(req *call.Request, priority int, bounds admit.Bounds) (*admit.Ticket, admit.Verdict, time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.clock.Now()
-	if q.policy.Limit() != places {
-		q.policy.SetLimit(now, places)
+	if q.policy.Bounds() != bounds {
+		q.policy.SetBounds(now, bounds)
 	}
 	return q.policy.Arrive(now, req.Customer.Name, priority, req.Deadline)
 }
--- a/internal/standin/cluster.go
+++ b/internal/standin/cluster.go
@@ -25,6 +25,9 @@
 	// Callers, Peers and Admin are the entry's addresses.
 	Callers, Peers, Admin string
 
+	// CallersSettings holds further lines of the settings' [callers] table.
+	CallersSettings string
+
 	cmd *exec.Cmd
 }
 
@@ -62,13 +65,14 @@
 data_centre = "modjo"
 [callers]
 address = %q
+%s
 [peers]
 address = %q
 [admin]
 address = %q
 [configuration]
 url = %q
-`, e.ID, e.Callers, e.Peers, e.Admin, platformURL)
+`, e.ID, e.Callers, e.CallersSettings, e.Peers, e.Admin, platformURL)
 }
 
 // Start writes the settings file into dir and runs the binary. Its log goes to
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -26,6 +26,8 @@
 	Servers map[string][]ServerOptions
 	// Plans and Allowances are the operators' lists; the samples if nil.
 	Plans, Allowances []byte
+	// CallersSettings holds further lines of each entry's [callers] table.
+	CallersSettings string
 	// PlatformEach gives each entry a configuration service of its own, so that a
 	// test can cut or age it.
 	PlatformEach bool
@@ -114,6 +116,7 @@
 		if err != nil {
 			return err
 		}
+		e.CallersSettings = f.options.CallersSettings
 		f.Entries = append(f.Entries, e)
 	}
 	f.publishAll()
--- a/internal/supervisor/peers/links.go
+++ b/internal/supervisor/peers/links.go
@@ -90,6 +90,16 @@
 	return true
 }
 
+// Close closes all connections.
+func (l *Links) Close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for address, known := range l.links {
+		_ = known.conn.Close()
+		delete(l.links, address)
+	}
+}
+
 // Keep closes the connections to VMs that have been missing from the list for
 // linkLinger. Now is the monotonic time.
 func (l *Links) Keep(vms []lists.VM, now time.Duration) {
--- a/proof/limits_test.go
+++ b/proof/limits_test.go
@@ -25,13 +25,13 @@
 
 [services.stock]
 slots = 6
-connections = 260
+connections = 3000
 probes_per_second = 0.5
 operations.lookup = { method = "GET", idempotent = true }
 
 [services.moves]
 slots = 6
-connections = 260
+connections = 3000
 probes_per_second = 0.5
 operations.book = { method = "POST" }
 
@@ -42,9 +42,9 @@
 deadline = "%s"
 
 [plans.agent.moves]
-rate = 10000
-burst = 3000
-concurrency = 3000
+rate = 60000
+burst = 30000
+concurrency = 30000
 deadline = "1s"
 
 [end]
@@ -118,7 +118,7 @@
 		loads.Go(func() { load(loadCtx, fleet.Entries[i], perSecond) })
 	}
 	killed, frozen := fleet.Entries[1], fleet.Entries[2]
-	for round := range 8 {
+	for round := range 12 {
 		assert.NilError(t, frozen.Signal(syscall.SIGSTOP))
 		assert.NilError(t, killed.Signal(syscall.SIGKILL))
 		_ = killed.Wait()
