Never hand out a free address twice

Cause: TestRestartWithStaleReplicaTakesPeersLists failed once in a run of all tests and once more in repeated runs of it alone: an entry was never ready. Its log names the cause: bind: address already in use for the peers' address, which an entry of the same fleet had as its admin address. FreeAddress closes its listener before the address is used, so a later call could return the same port.

Ruled out: a loss of versions or of the question to peers on restart; both worked in the log of the failing run.

Change: FreeAddress remembers what it returned.

--- a/internal/standin/cluster.go
+++ b/internal/standin/cluster.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -111,14 +112,22 @@
 	return lists.VM{ID: e.ID, Address: e.Peers, DataCentre: "modjo", State: lists.Live}
 }
 
-// FreeAddress returns a loopback address with a port that is free now.
+var handedOut sync.Map // addresses that FreeAddress returned
+
+// FreeAddress returns a loopback address with a port that is free now. It never
+// returns an address twice, because the first one may not be in use yet.
 func FreeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.WithStack(err)
+	for {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return "", errors.WithStack(err)
+		}
+		address := listener.Addr().String()
+		listener.Close()
+		if _, again := handedOut.LoadOrStore(address, true); !again {
+			return address, nil
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
 }
 
 // Response is a caller's view of an answer.
