Let peers offer the VM list to an entry that starts without the service

Cause: a VM that starts while the configuration service is down had no VM list, so it knew no peer to ask and was never ready.

Change: an entry whose digest names no VM list is offered the sender's; the rest it asks for itself. It takes an offer only while it has none, so an entry that has one can't be redirected, and digests from outside the VM list still open no connection.

--- a/internal/cli/check_test.go
+++ b/internal/cli/check_test.go
@@ -97,3 +97,20 @@
 	assert.Equal(t, errOut.String(), "/nowhere/plans.toml: cannot be read: open /nowhere/plans.toml: no such file or directory; give the path of a list file\n")
 	assert.Equal(t, Run([]string{"check"}, &out, &errOut), exitBadInput)
 }
+
+// The examples of the operators' page are lists that pass.
+func TestExamplesOfTheListsPagePass(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operators/lists.md")
+	assert.NilError(t, err)
+	section := func(title, key string) string {
+		_, text, found := strings.Cut(string(page), "\n## "+title+"\n")
+		assert.Assert(t, found, title)
+		start, end := strings.Index(text, "    "+key), strings.Index(text, "\n| key")
+		assert.Assert(t, start >= 0 && end > start, title)
+		return strings.ReplaceAll(text[start:end], "\n    ", "\n")[4:]
+	}
+	allowances := section("allowances", "entries = ")
+	status, lines := check(t, map[string]string{"plans": section("plans", "[customers."), "allowances": allowances})
+	assert.Equal(t, lines, "")
+	assert.Equal(t, status, exitOK)
+}
--- a/internal/supervisor/peers/exchange.go
+++ b/internal/supervisor/peers/exchange.go
@@ -83,6 +83,7 @@
 		s.log.Debugf("exchange with %s: %v", address, err)
 		return
 	}
+	s.offer(ctx, address, reply)
 	s.pullNewer(ctx, address, reply)
 }
 
--- a/internal/supervisor/peers/spread_test.go
+++ b/internal/supervisor/peers/spread_test.go
@@ -174,6 +174,22 @@
 	assert.Assert(t, n.service.DigestAge() >= age, "counts as a digest")
 }
 
+func TestOfferIsTakenOnlyWithoutAVMList(t *testing.T) {
+	n := newNode(t, freeAddress(t))
+	n.start(t)
+	offer := func(version uint64, addresses ...string) {
+		_, err := n.service.Offer(t.Context(), &peerwire.OfferRequest{Version: version, Body: vmList(addresses...)})
+		assert.NilError(t, err)
+	}
+	offer(3, n.address)
+	eventually(t, "the VM list", func() bool { return n.holder.Load().VMs != nil })
+	offer(9, n.address, "127.0.0.1:9")
+	n.give(lists.PlansName, 1, standin.SamplePlans())
+	n.give(lists.AllowancesName, 1, standin.SampleAllowances())
+	eventually(t, "an event after the offer", func() bool { return n.holder.Load().Plans != nil })
+	assert.Equal(t, n.holder.Load().Lists[lists.VMsName].Version, uint64(3))
+}
+
 // The only connection over which an entry hears of changes swallows all bytes
 // without a reset.
 func TestChangeSpreadsAfterTheConnectionWentSilent(t *testing.T) {
--- a/proof/configuration_test.go
+++ b/proof/configuration_test.go
@@ -124,6 +124,11 @@
 // staleFleet returns three entries of which the last reads a stale copy of
 // version 1 while version 2 of each list is in force everywhere.
 func staleFleet(ctx context.Context, t *testing.T, log *syncBuffer) *standin.Fleet {
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(log.String())
+		}
+	})
 	fleet := startFleet(ctx, t, standin.FleetOptions{Entries: 3, PlatformEach: true, Log: log})
 	fleet.Platforms[2].SetStale(lists.Names()...)
 	fleet.Publish(lists.PlansName, standin.SamplePlans())
@@ -199,6 +204,24 @@
 	}
 }
 
+func TestRestartWithServiceDownTakesPeersLists(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	fleet := startFleet(ctx, t, standin.FleetOptions{Entries: 3})
+	version := fleet.Publish(lists.PlansName, standin.SamplePlans())
+	waitVersion(ctx, t, lists.PlansName, version, fleet.Entries...)
+	fleet.Platform.SetDown(true)
+	restarted := fleet.Entries[2]
+	assert.NilError(t, restarted.Signal(syscall.SIGKILL))
+	_ = restarted.Wait()
+	assert.NilError(t, fleet.StartEntry(restarted))
+	assert.NilError(t, restarted.WaitReady(ctx))
+	assert.Equal(t, statusOf(t, restarted).Lists[string(lists.PlansName)].Version, version)
+	calls := startLookups(ctx, restarted)
+	eventually(ctx, t, "calls", func() bool { return calls.sent.Load() > 10 })
+	calls.stop(t)
+}
+
 func TestPartitionHealsToTheNewestLists(t *testing.T) {
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
