--- a/internal/supervisor/configuration/watch_test.go
+++ b/internal/supervisor/configuration/watch_test.go
@@ -55,7 +55,7 @@
 func startEntry(t *testing.T, self, url string) *entry {
 	t.Helper()
 	e := &entry{}
-	c := control.New(self, &e.holder, servers.NewRegistry(nil), journal.New(16))
+	c := control.New(self, &e.holder, servers.NewRegistry(1<<20), journal.New(16))
 	go func() { _ = c.Serve(t.Context()) }()
 	c.Send(control.PeersAsked{})
 	source := Source{URL: url, Self: self, DigestAge: func() time.Duration { return time.Duration(e.digestAge.Load()) }}
@@ -93,7 +93,7 @@
 	server := httptest.NewServer(platform.Handler())
 	defer server.Close()
 	platform.Publish(string(lists.VMsName), standin.SampleVMs(nil))
-	c := control.New("", &view.Holder{}, servers.NewRegistry(nil), journal.New(1))
+	c := control.New("", &view.Holder{}, servers.NewRegistry(1<<20), journal.New(1))
 	for c.Send(control.StopRequested{}) {
 	}
 	w := NewWatcher(lists.VMsName, Source{URL: server.URL}, &view.Holder{}, c)
--- a/internal/supervisor/control/control_test.go
+++ b/internal/supervisor/control/control_test.go
@@ -17,7 +17,7 @@
 
 // newControl returns a control whose events the test applies itself.
 func newControl() *Control {
-	return New(self, &view.Holder{}, servers.NewRegistry(nil), journal.New(64))
+	return New(self, &view.Holder{}, servers.NewRegistry(1<<20), journal.New(64))
 }
 
 func plansText(plan string) string {
--- a/internal/supervisor/peers/spread_test.go
+++ b/internal/supervisor/peers/spread_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -37,7 +36,7 @@
 func newNode(t *testing.T, address string) *node {
 	t.Helper()
 	holder := &view.Holder{}
-	c := control.New(address, holder, servers.NewRegistry(nil), journal.New(16))
+	c := control.New(address, holder, servers.NewRegistry(1<<20), journal.New(16))
 	return &node{address: address, holder: holder, control: c, service: NewService(address, holder, c, NewLinks(), nil, lists.MaxBytes)}
 }
 
@@ -56,17 +55,11 @@
 	n.control.Send(control.ListArrived{Name: name, Version: version, Body: body, Source: "test"})
 }
 
-var lastAddress atomic.Uint32
-
-// freeAddress returns an address with a loopback IP of its own, so that no
-// outgoing connection, which comes from 127.0.0.1, can take its port.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	n := lastAddress.Add(1)
-	listener, err := net.Listen("tcp", fmt.Sprintf("127.77.%d.%d:0", n/250, 1+n%250))
+	address, err := standin.FreeAddress()
 	assert.NilError(t, err)
-	defer listener.Close()
-	return listener.Addr().String()
+	return address
 }
 
 func vmList(addresses ...string) []byte {
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -6,7 +6,6 @@
 	"context"
 	"time"
 
-	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
 	"github.com/thejerf/suture/v4"
 
@@ -22,6 +21,7 @@
 	"github.com/baobabstack/baobabstack/internal/supervisor/configuration"
 	"github.com/baobabstack/baobabstack/internal/supervisor/control"
 	"github.com/baobabstack/baobabstack/internal/supervisor/peers"
+	"github.com/baobabstack/baobabstack/internal/supervisor/prober"
 	"github.com/baobabstack/baobabstack/internal/supervisor/servers"
 	"github.com/baobabstack/baobabstack/internal/supervisor/shares"
 	"github.com/baobabstack/baobabstack/internal/tracing"
@@ -43,15 +43,9 @@
 	}
 	budget := memory.NewBudget(s.Callers.MemoryBytes)
 	budget.CountHTTP()
-	engine, err := startEngine(s.Callers.MaxBodyBytes)
-	if err != nil {
-		return err
-	}
-	defer engine.Stop()
-
 	holder := &view.Holder{}
 	book := shares.NewBook(clock.Boot{})
-	ctl := control.New(s.Peers.Address, holder, servers.NewRegistry(engine), journal.Default())
+	ctl := control.New(s.Peers.Address, holder, servers.NewRegistry(s.Callers.MaxBodyBytes), journal.Default())
 	ctl.AwaitShares()
 	links := peers.NewLinks()
 	forwarder := peers.NewForwarder(links, clock.Boot{}, s.Callers.MaxBodyBytes)
@@ -64,11 +58,10 @@
 
 	root := suture.New("entry", suture.Spec{EventHook: func(e suture.Event) { log.Warnf("%s", e) }})
 	root.Add(ctl)
-	root.Add(peerService)
 	addWatchers(root, s, holder, ctl, peerService)
-	root.Add(shares.NewService(book, holder, links, clock.Boot{}, func() bool { return ctl.Send(control.SharesUsable{}) }))
-	root.Add(admin.NewService(s.Admin.Address, holder))
-	root.Add(callers.NewService(s.Callers.Address, s.Callers.MaxBodyBytes, handler))
+	borrower := shares.NewService(book, holder, links, clock.Boot{}, func() bool { return ctl.Send(control.SharesUsable{}) })
+	add(root, prober.NewService(holder, clock.Boot{}), peerService, borrower, admin.NewService(s.Admin.Address, holder),
+		callers.NewService(s.Callers.Address, s.Callers.MaxBodyBytes, handler))
 
 	runTree(ctx, root, log, func() { drain(ctl, log, handler, tickets) })
 	flushCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), flushTimeout)
@@ -89,16 +82,6 @@
 	}
 }
 
-// startEngine starts the engine of the connections to servers.
-func startEngine(maxBodyBytes int) (*nbhttp.Engine, error) {
-	engine := nbhttp.NewEngine(nbhttp.Config{
-		Name: "servers", ReadLimit: maxBodyBytes + 1<<16, MaxHTTPBodySize: maxBodyBytes,
-		ServerExecutor: func(f func()) { go f() }, ClientExecutor: func(f func()) { go f() },
-	})
-	err := engine.Start()
-	return engine, errors.Wrap(err, "supervisor: start the servers' engine")
-}
-
 // waiter is a part with calls in flight.
 type waiter interface{ Wait() }
 
@@ -127,3 +110,9 @@
 		log.Warnf("calls are still in flight after %s", drainTimeout)
 	}
 }
+
+func add(root *suture.Supervisor, children ...suture.Service) {
+	for _, child := range children {
+		root.Add(child)
+	}
+}
