--- a/internal/supervisor/peers/spread_test.go
+++ b/internal/supervisor/peers/spread_test.go
@@ -1,7 +1,6 @@
 package peers
 
 import (
-	"context"
 	"fmt"
 	"net"
 	"testing"
@@ -41,9 +40,15 @@
 	return &node{address: address, holder: holder, control: c, service: NewService(address, holder, c, NewLinks(), nil, lists.MaxBytes)}
 }
 
-func (n *node) start(ctx context.Context) {
+// start runs the node until the test ends.
+func (n *node) start(t *testing.T) {
+	ctx := t.Context()
 	go func() { _ = n.control.Serve(ctx) }()
-	go func() { _ = n.service.Serve(ctx) }()
+	go func() {
+		if err := n.service.Serve(ctx); ctx.Err() == nil {
+			t.Errorf("%s ended early: %v", n.address, err)
+		}
+	}()
 }
 
 func (n *node) give(name lists.Name, version uint64, body []byte) {
@@ -85,7 +90,7 @@
 	var nodes []*node
 	for _, address := range addresses {
 		n := newNode(t, address)
-		n.start(t.Context())
+		n.start(t)
 		n.give(lists.VMsName, 1, vmList(addresses...))
 		n.give(lists.PlansName, 1, standin.SamplePlans())
 		n.give(lists.AllowancesName, 1, standin.SampleAllowances())
@@ -120,7 +125,7 @@
 func started(t *testing.T, peer string) time.Duration {
 	t.Helper()
 	n := newNode(t, freeAddress(t))
-	n.start(t.Context())
+	n.start(t)
 	begin := time.Now()
 	n.give(lists.VMsName, 1, vmList(n.address, peer))
 	n.give(lists.PlansName, 1, standin.SamplePlans())
@@ -148,7 +153,7 @@
 
 func TestDigestFromOutsideTheVMListOpensNoConnection(t *testing.T) {
 	n := newNode(t, freeAddress(t))
-	n.start(t.Context())
+	n.start(t)
 	n.give(lists.VMsName, 1, vmList(n.address))
 	eventually(t, "the VM list", func() bool { return n.holder.Load().VMs != nil })
 	age := n.service.DigestAge()
@@ -162,6 +167,22 @@
 	assert.Assert(t, n.service.DigestAge() >= age, "counts as a digest")
 }
 
+func TestOfferIsTakenOnlyWithoutAVMList(t *testing.T) {
+	n := newNode(t, freeAddress(t))
+	n.start(t)
+	offer := func(version uint64, addresses ...string) {
+		_, err := n.service.Offer(t.Context(), &peerwire.OfferRequest{Version: version, Body: vmList(addresses...)})
+		assert.NilError(t, err)
+	}
+	offer(3, n.address)
+	eventually(t, "the VM list", func() bool { return n.holder.Load().VMs != nil })
+	offer(9, n.address, "127.0.0.1:9")
+	n.give(lists.PlansName, 1, standin.SamplePlans())
+	n.give(lists.AllowancesName, 1, standin.SampleAllowances())
+	eventually(t, "an event after the offer", func() bool { return n.holder.Load().Plans != nil })
+	assert.Equal(t, n.holder.Load().Lists[lists.VMsName].Version, uint64(3))
+}
+
 // The only connection over which an entry hears of changes swallows all bytes
 // without a reset.
 func TestChangeSpreadsAfterTheConnectionWentSilent(t *testing.T) {
@@ -169,8 +190,8 @@
 	relay, err := standin.NewRelay(source.address)
 	assert.NilError(t, err)
 	defer relay.Close()
-	source.start(t.Context())
-	reader.start(t.Context())
+	source.start(t)
+	reader.start(t)
 	source.give(lists.VMsName, 1, vmList(source.address))
 	reader.give(lists.VMsName, 1, vmList(reader.address, relay.Address))
 	source.give(lists.AllowancesName, 1, standin.SampleAllowances())
