--- a/internal/policy/admit/queue.go
+++ b/internal/policy/admit/queue.go
@@ -25,9 +25,13 @@
 	// waitShare divides the time that a call has left: it waits at most one part
 	// and leaves the others for the work.
 	waitShare = 2
-	// waitingPerPlace and minWaiting bound the calls that wait.
+	// waitingPerPlace and minWaiting give the calls that may wait.
 	waitingPerPlace = 8
 	minWaiting      = 64
+	// serviceShare divides the calls that the entry takes: one service runs at
+	// most one part and keeps at most another waiting, so that a service which
+	// stalls leaves half of the entry to the others.
+	serviceShare = 4
 	// runWeight is the weight of a sample in the mean time of a call.
 	runWeight = 0.05
 )
@@ -45,10 +49,34 @@
 	Refuse
 )
 
+// Bounds says how many calls of a service an entry takes.
+type Bounds struct {
+	// Running is the most calls at the servers.
+	Running int
+	// Waiting is the most calls that wait.
+	Waiting int
+}
+
+// BoundsOf returns the bounds for a service whose servers can use so many calls
+// at an entry that takes at most so many of all services together.
+func BoundsOf(running, most int) Bounds {
+	part := max(most/serviceShare, 1)
+	running = max(min(running, part), 1)
+	return Bounds{Running: running, Waiting: min(max(waitingPerPlace*running, minWaiting), part)}
+}
+
+// WithFree returns the bounds of an entry whose calls fill its part while the
+// servers report free slots. It takes half of them, so that two entries which see
+// the same ones don't take them twice.
+func (b Bounds) WithFree(running, free, most int) Bounds {
+	b.Running = max(b.Running, min(running+free/2, max(most/serviceShare, 1)))
+	return b
+}
+
 // Queue holds one service's calls at one entry. It is not safe for concurrent
 // use.
 type Queue struct {
-	limit   int
+	bounds  Bounds
 	running int
 	waiting int
 	served  uint64
@@ -57,9 +85,9 @@
 	flows   map[string]int
 }
 
-// NewQueue returns a queue that lets so many calls run at a time.
-func NewQueue(limit int) *Queue {
-	return &Queue{limit: max(limit, 1), flows: make(map[string]int)}
+// NewQueue returns an empty queue.
+func NewQueue(b Bounds) *Queue {
+	return &Queue{bounds: b, flows: make(map[string]int)}
 }
 
 // Ticket is a call that arrived at a queue.
@@ -85,7 +113,7 @@
 func (q *Queue) Arrive(now time.Duration, customer string, priority int, deadline time.Duration) (t *Ticket, v Verdict, wait time.Duration) {
 	c := q.class(priority)
 	t = &Ticket{customer: customer, class: c, arrived: now, latest: now + (deadline-now)/waitShare, index: -1}
-	if q.running < q.limit && q.waiting == 0 {
+	if q.running < q.bounds.Running && q.waiting == 0 {
 		c.stamp(t)
 		c.virtual = max(c.virtual, t.start)
 		q.running++
@@ -95,7 +123,7 @@
 	if now+wait > t.latest {
 		return nil, Refuse, wait
 	}
-	if q.waiting >= max(waitingPerPlace*q.limit, minWaiting) && !q.dropLongest(customer) {
+	if q.waiting >= q.bounds.Waiting && !q.dropLongest(customer) {
 		return nil, Refuse, wait
 	}
 	c.stamp(t)
@@ -116,10 +144,10 @@
 	q.startWaiting(now)
 }
 
-// SetLimit changes the calls that may run at a time and starts those that now
-// may.
-func (q *Queue) SetLimit(now time.Duration, limit int) {
-	q.limit = max(limit, 1)
+// SetBounds changes the bounds and starts the calls that now may run. Calls that
+// wait beyond the bound are kept.
+func (q *Queue) SetBounds(now time.Duration, b Bounds) {
+	q.bounds = b
 	q.startWaiting(now)
 }
 
@@ -135,8 +163,11 @@
 // Idle reports whether no call runs or waits.
 func (q *Queue) Idle() bool { return q.running == 0 && q.waiting == 0 }
 
-// Limit returns the calls that may run at a time.
-func (q *Queue) Limit() int { return q.limit }
+// Bounds returns the bounds in force.
+func (q *Queue) Bounds() Bounds { return q.bounds }
+
+// Running returns the number of calls that run.
+func (q *Queue) Running() int { return q.running }
 
 // Waiting returns the number of calls that wait.
 func (q *Queue) Waiting() int { return q.waiting }
@@ -144,7 +175,7 @@
 // startWaiting lets calls run while there is room. Those whose time to start
 // has passed are refused.
 func (q *Queue) startWaiting(now time.Duration) {
-	for q.running < q.limit && q.waiting > 0 {
+	for q.running < q.bounds.Running && q.waiting > 0 {
 		t := q.next()
 		q.remove(t)
 		if now > t.latest {
@@ -203,7 +234,7 @@
 		}
 	}
 	ahead = min(ahead+rounds-1, q.waiting)
-	return q.meanRun * time.Duration(ahead+1) / time.Duration(q.limit)
+	return q.meanRun * time.Duration(ahead+1) / time.Duration(q.bounds.Running)
 }
 
 // dropLongest refuses the newest call of the customer with the most waiting
--- a/internal/supervisor/servers/pool.go
+++ b/internal/supervisor/servers/pool.go
@@ -16,7 +16,7 @@
 // pool holds the connections of this entry to one server. Calls that find all
 // of them in use wait in the order in which they came.
 type pool struct {
-	maxBody int
+	answers *AnswerLimits
 	address string
 
 	mu      sync.Mutex
@@ -36,8 +36,8 @@
 	err error
 }
 
-func newPool(maxBody int, address string, limit int) *pool {
-	return &pool{maxBody: maxBody, address: address, limit: limit}
+func newPool(answers *AnswerLimits, address string, limit int) *pool {
+	return &pool{answers: answers, address: address, limit: limit}
 }
 
 // setLimit bounds the open connections from now on.
@@ -63,7 +63,7 @@
 	if c != nil {
 		return c, nil
 	}
-	c, err = dial(ctx, p.maxBody, p.address)
+	c, err = dial(ctx, p.answers, p.address)
 	if err != nil {
 		p.release()
 		return nil, err
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -11,8 +11,10 @@
 
 	"github.com/baobabstack/baobabstack/internal/clock"
 	"github.com/baobabstack/baobabstack/internal/dispatch"
+	"github.com/baobabstack/baobabstack/internal/journal"
 	"github.com/baobabstack/baobabstack/internal/lists"
 	"github.com/baobabstack/baobabstack/internal/logs"
+	"github.com/baobabstack/baobabstack/internal/memory"
 	"github.com/baobabstack/baobabstack/internal/settings"
 	"github.com/baobabstack/baobabstack/internal/supervisor/admin"
 	"github.com/baobabstack/baobabstack/internal/supervisor/callers"
@@ -38,47 +40,59 @@
 	if err != nil {
 		return err
 	}
+	budget := memory.NewBudget(s.Callers.MemoryBytes)
+	budget.CountHTTP()
 	holder := &view.Holder{}
 	book := shares.NewBook(clock.Boot{})
-	ctl := control.New(s.Peers.Address, holder, servers.NewRegistry(s.Callers.MaxBodyBytes))
+	ctl := control.New(s.Peers.Address, holder, servers.NewRegistry(&servers.AnswerLimits{MaxBodyBytes: s.Callers.MaxBodyBytes, Memory: budget}), journal.Default())
 	ctl.AwaitShares()
 	links := peers.NewLinks()
 	forwarder := peers.NewForwarder(links, clock.Boot{}, s.Callers.MaxBodyBytes)
 	tickets := dispatch.NewTickets(s.Entry.ID, s.Callers.MaxInFlight, holder, clock.Boot{}, forwarder)
-	dispatcher := dispatch.New(dispatch.NewLimits(holder, clock.Boot{}, book), dispatch.NewAttempts(holder, clock.Boot{}), tickets)
-	handler := callers.NewHandler(holder, clock.Boot{}, dispatcher, s.Callers.MaxInFlight, tickets)
+	dispatcher := dispatch.New(dispatch.NewLimits(holder, clock.Boot{}, book, s.Callers.MaxInFlight), dispatch.NewAttempts(holder, clock.Boot{}), tickets)
+	handler := callers.NewHandler(holder, clock.Boot{}, dispatcher, s.Callers.MaxInFlight, tickets, budget)
 	owned := peers.NewOwned(holder, clock.Boot{}, dispatcher)
 	peerService := peers.NewService(s.Peers.Address, holder, ctl, links, owned, s.Callers.MaxBodyBytes)
 	peerService.SetBook(book)
-	borrower := shares.NewService(book, holder, links, clock.Boot{}, func() bool { return ctl.Send(control.SharesUsable{}) })
 
 	root := suture.New("entry", suture.Spec{EventHook: func(e suture.Event) { log.Warnf("%s", e) }})
 	root.Add(ctl)
-	for _, name := range lists.Names() {
-		root.Add(configuration.NewWatcher(name, s.Configuration.URL, holder, ctl))
-	}
 	root.Add(peerService)
-	root.Add(borrower)
+	addWatchers(root, s, holder, ctl, peerService)
+	root.Add(shares.NewService(book, holder, links, clock.Boot{}, func() bool { return ctl.Send(control.SharesUsable{}) }))
 	root.Add(admin.NewService(s.Admin.Address, holder))
 	root.Add(callers.NewService(s.Callers.Address, s.Callers.MaxBodyBytes, handler))
 
+	runTree(ctx, root, log, func() { drain(ctl, log, handler, tickets) })
+	flushCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), flushTimeout)
+	defer cancel()
+	return stopTracing(flushCtx)
+}
+
+// runTree runs the tree until the context ends and stops it after the drain.
+func runTree(ctx context.Context, root *suture.Supervisor, log logs.Logger, drain func()) {
 	treeCtx, stopTree := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopTree()
 	done := root.ServeBackground(treeCtx)
 	<-ctx.Done()
-	drain(ctl, log, handler, tickets)
+	drain()
 	stopTree()
 	if err := <-done; err != nil && !errors.Is(err, context.Canceled) {
 		log.Errorf("the tree ended: %v", err)
 	}
-	flushCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), flushTimeout)
-	defer cancel()
-	return stopTracing(flushCtx)
 }
 
 // waiter is a part with calls in flight.
 type waiter interface{ Wait() }
 
+// addWatchers adds a watcher of each list.
+func addWatchers(root *suture.Supervisor, s *settings.Settings, holder *view.Holder, ctl *control.Control, p *peers.Service) {
+	source := configuration.Source{URL: s.Configuration.URL, Self: s.Peers.Address, DigestAge: p.DigestAge}
+	for _, name := range lists.Names() {
+		root.Add(configuration.NewWatcher(name, source, holder, ctl))
+	}
+}
+
 // drain stops new calls and waits for those in flight.
 func drain(ctl *control.Control, log logs.Logger, parts ...waiter) {
 	ctl.Send(control.StopRequested{})
--- a/proof/ownanswer_test.go
+++ b/proof/ownanswer_test.go
@@ -19,10 +19,10 @@
 	"github.com/baobabstack/baobabstack/internal/standin"
 )
 
-// lookups sends lookups from several callers at once and checks that each one
+// boundLookups sends lookups from several callers at once and checks that each one
 // gets a body bound to its own request, or no answer of a server at all. It
 // returns how many were answered.
-func lookups(ctx context.Context, t *testing.T, fleet *standin.Fleet, each int) int64 {
+func boundLookups(ctx context.Context, t *testing.T, fleet *standin.Fleet, each int) int64 {
 	t.Helper()
 	const callersAtOnce = 4
 	var answered atomic.Int64
@@ -73,7 +73,7 @@
 				}
 			})
 			fleet := rawFleet(ctx, t, 1, raw)
-			assert.Assert(t, lookups(ctx, t, fleet, 200) > 0)
+			assert.Assert(t, boundLookups(ctx, t, fleet, 200) > 0)
 		})
 	}
 }
@@ -183,7 +183,7 @@
 		}
 	})
 	fleet := rawFleet(ctx, t, 1, raw)
-	assert.Assert(t, lookups(ctx, t, fleet, 10) > 0)
+	assert.Assert(t, boundLookups(ctx, t, fleet, 10) > 0)
 }
 
 func releaseInReverse(turns []chan struct{}) {
