Prove that hedged lookups are never called not-run

Cause: a hedge that loses was not covered. The defect silent-link had become invisible: the exchange of digests now drops silent links as well.

Change: TestAHedgedLookupIsNeverCalledNotRun; the defect keeps every silent link.

--- a/internal/supervisor/peers/forward.go
+++ b/internal/supervisor/peers/forward.go
@@ -13,7 +13,6 @@
 
 	"github.com/baobabstack/baobabstack/internal/call"
 	"github.com/baobabstack/baobabstack/internal/clock"
-	"github.com/baobabstack/baobabstack/internal/defect"
 	"github.com/baobabstack/baobabstack/internal/fault"
 	"github.com/baobabstack/baobabstack/internal/journal"
 	"github.com/baobabstack/baobabstack/internal/lists"
@@ -135,9 +134,6 @@
 	if err == nil {
 		return true
 	}
-	if defect.On("silent-link") {
-		return false
-	}
 	if f.links.Drop(address, conn) {
 		journal.Note("peers", "link-dropped", address, "the link gave no sign of life")
 	}
--- a/internal/supervisor/peers/links.go
+++ b/internal/supervisor/peers/links.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 
+	"github.com/baobabstack/baobabstack/internal/defect"
 	"github.com/baobabstack/baobabstack/internal/lists"
 	"github.com/baobabstack/baobabstack/internal/peerwire"
 )
@@ -81,7 +82,7 @@
 func (l *Links) Drop(address string, conn *grpc.ClientConn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if known, ok := l.links[address]; !ok || known.conn != conn {
+	if known, ok := l.links[address]; !ok || known.conn != conn || defect.On("silent-link") {
 		return false
 	}
 	delete(l.links, address)
--- a/proof/notrun_test.go
+++ b/proof/notrun_test.go
@@ -256,6 +256,50 @@
 	}
 }
 
+// TestAHedgedLookupIsNeverCalledNotRun mixes a server that runs lookups and never
+// answers with one that rejects the second attempts beside them.
+func TestAHedgedLookupIsNeverCalledNotRun(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), testLimit)
+	defer cancel()
+	stalls := startRaw(t, "stock-stalls", "stock", func(c *standin.RawConn) {
+		_, _ = c.Run()
+		_, _ = c.Reader.ReadByte()
+	})
+	rejects := startRaw(t, "stock-rejects", "stock", func(c *standin.RawConn) {
+		for {
+			if _, err := c.Run(); err != nil {
+				return
+			}
+			c.Send(response(http.StatusServiceUnavailable, "rejected", notStarted))
+		}
+	})
+	fleet := rawFleet(ctx, t, 1, stalls, rejects)
+	told := make([]standin.Response, 120)
+	var all sync.WaitGroup
+	for i := range told {
+		all.Go(func() {
+			time.Sleep(time.Duration(i) * 20 * time.Millisecond)
+			url := fmt.Sprintf("%s/stock/lookup?box=%d", fleet.Entries[0].URL(), i)
+			told[i], _ = standin.Call(ctx, http.MethodGet, url, "", http.Header{call.HeaderDeadline: {"300"}})
+		})
+	}
+	all.Wait()
+	both := 0
+	for i, res := range told {
+		target := fmt.Sprintf("/stock/lookup?box=%d", i)
+		reached := func(run standin.Run) bool { return run.Target == target }
+		if !slices.ContainsFunc(stalls.Ran(), reached) {
+			continue
+		}
+		assert.Equal(t, outcomeOf(res), "unknown", "%s (%s)", target, reasonOf(res))
+		if slices.ContainsFunc(rejects.Ran(), reached) {
+			both++
+		}
+	}
+	assert.Assert(t, both > 0, "no lookup reached both servers")
+	t.Logf("%d lookups reached both servers", both)
+}
+
 // TestShutdownTellsNoLies stops an entry while bookings with and without
 // tickets arrive at all entries.
 func TestShutdownTellsNoLies(t *testing.T) {
