--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -44,7 +44,11 @@
 	budget.CountHTTP()
 	holder := &view.Holder{}
 	book := shares.NewBook(clock.Boot{})
+<<<<<<< HEAD
 	ctl := control.New(s.Peers.Address, holder, servers.NewRegistry(&servers.AnswerLimits{MaxBodyBytes: s.Callers.MaxBodyBytes, Memory: budget}), journal.Default())
+=======
+	ctl := control.New(s.Peers.Address, holder, servers.NewRegistry(s.Callers.MaxBodyBytes), journal.Default())
+>>>>>>> main
 	ctl.AwaitShares()
 	links := peers.NewLinks()
 	forwarder := peers.NewForwarder(links, clock.Boot{}, s.Callers.MaxBodyBytes)
