--- a/internal/supervisor/servers/conn.go
+++ b/internal/supervisor/servers/conn.go
@@ -22,7 +22,7 @@
 	raw     *net.TCPConn
 	limited *io.LimitedReader // bounds the bytes of one answer
 	reader  *bufio.Reader
-	answers *AnswerLimits
+	answers *answerLimits
 	opened  time.Time
 	// lastUsed is when the connection last carried an answer, or was opened.
 	lastUsed time.Time
@@ -52,16 +52,14 @@
 	errUpgrade  = errors.New("the server changed the protocol")
 )
 
-// AnswerLimits bounds what answers may take.
-type AnswerLimits struct {
-	// MaxBodyBytes is the largest body of an answer.
-	MaxBodyBytes int
-	// Memory counts the bytes of bodies while they are read.
-	Memory *memory.Budget
+// answerLimits bounds what answers may take.
+type answerLimits struct {
+	maxBodyBytes int
+	memory       *memory.Budget // counts bodies while they are read
 }
 
 // dial opens a connection. No byte is sent on it.
-func dial(ctx context.Context, answers *AnswerLimits, address string) (*conn, error) {
+func dial(ctx context.Context, answers *answerLimits, address string) (*conn, error) {
 	var dialer net.Dialer
 	opened, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
@@ -116,7 +114,7 @@
 	c.spoilt = !defect.On("connection-reuse")
 	stop := context.AfterFunc(ctx, func() { _ = c.raw.SetDeadline(past) })
 	defer stop()
-	c.limited.N = int64(maxHeadBytes + c.answers.MaxBodyBytes)
+	c.limited.N = int64(maxHeadBytes + c.answers.maxBodyBytes)
 	if err := req.Write(c.raw); err != nil {
 		return reply{err: errors.WithStack(err)}
 	}
@@ -151,11 +149,11 @@
 	if res.ContentLength < 0 && len(res.TransferEncoding) == 0 && mayHaveBody(method, res.StatusCode) && !defect.On("answer-without-length") {
 		return reply{err: errors.WithStack(errNoLength)}
 	}
-	limit := c.answers.MaxBodyBytes
+	limit := c.answers.maxBodyBytes
 	if res.ContentLength > int64(limit) {
 		return reply{err: errors.WithStack(errTooLarge)}
 	}
-	counted := &countedReader{r: io.LimitReader(res.Body, int64(limit)+1), budget: c.answers.Memory}
+	counted := &countedReader{r: io.LimitReader(res.Body, int64(limit)+1), budget: c.answers.memory}
 	defer counted.release()
 	body, err := io.ReadAll(counted)
 	switch {
--- a/internal/supervisor/servers/notrun_test.go
+++ b/internal/supervisor/servers/notrun_test.go
@@ -11,7 +11,6 @@
 
 	"github.com/baobabstack/baobabstack/internal/call"
 	"github.com/baobabstack/baobabstack/internal/lists"
-	"github.com/baobabstack/baobabstack/internal/memory"
 	"github.com/baobabstack/baobabstack/internal/policy/outcome"
 )
 
@@ -56,7 +55,7 @@
 	t.Helper()
 	list := &lists.Servers{Servers: []lists.Server{{ID: "moves-1", Service: "moves", Address: address, State: lists.Live}}}
 	allowances := &lists.Allowances{Entries: 1, Services: map[string]lists.Service{"moves": {Slots: 1, Connections: 4}}}
-	return NewRegistry(&AnswerLimits{MaxBodyBytes: 1 << 20, Memory: memory.NewBudget(1 << 20)}).Apply(list, allowances)["moves"][0]
+	return NewRegistry(1<<20).Apply(list, allowances)["moves"][0]
 }
 
 func bookingOf(body string, deadline time.Duration) *call.Request {
--- a/internal/supervisor/servers/pool.go
+++ b/internal/supervisor/servers/pool.go
@@ -16,7 +16,7 @@
 // pool holds the connections of this entry to one server. Calls that find all
 // of them in use wait in the order in which they came.
 type pool struct {
-	answers *AnswerLimits
+	answers *answerLimits
 	address string
 
 	mu      sync.Mutex
@@ -36,7 +36,7 @@
 	err error
 }
 
-func newPool(answers *AnswerLimits, address string, limit int) *pool {
+func newPool(answers *answerLimits, address string, limit int) *pool {
 	return &pool{answers: answers, address: address, limit: limit}
 }
 
--- a/internal/supervisor/servers/registry.go
+++ b/internal/supervisor/servers/registry.go
@@ -4,22 +4,28 @@
 	"github.com/baobabstack/baobabstack/internal/clock"
 	"github.com/baobabstack/baobabstack/internal/defect"
 	"github.com/baobabstack/baobabstack/internal/lists"
+	"github.com/baobabstack/baobabstack/internal/memory"
 )
 
 // Registry keeps a Server for each line of the platform's list. It is used by
 // the control goroutine only.
 type Registry struct {
-	answers *AnswerLimits
+	answers *answerLimits
 	clock   clock.Clock
 	servers map[string]*Server
 }
 
-// NewRegistry returns a registry of servers whose answers have limits; nil serves
-// only where no server is called.
-func NewRegistry(answers *AnswerLimits) *Registry {
+// NewRegistry returns a registry of servers whose answers have bodies of at most
+// maxBodyBytes.
+func NewRegistry(maxBodyBytes int) *Registry {
+	answers := &answerLimits{maxBodyBytes: maxBodyBytes, memory: memory.NewBudget(0)}
 	return &Registry{answers: answers, clock: clock.Boot{}, servers: make(map[string]*Server)}
 }
 
+// CountAnswers counts the bodies of answers against a budget while they are
+// read. It must be called before Apply.
+func (r *Registry) CountAnswers(b *memory.Budget) { r.answers.memory = b }
+
 // Apply brings the registry in line with the lists and returns the servers by
 // service. A server that keeps its id and address keeps its connections and
 // counters.
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -44,11 +44,9 @@
 	budget.CountHTTP()
 	holder := &view.Holder{}
 	book := shares.NewBook(clock.Boot{})
-<<<<<<< HEAD
-	ctl := control.New(s.Peers.Address, holder, servers.NewRegistry(&servers.AnswerLimits{MaxBodyBytes: s.Callers.MaxBodyBytes, Memory: budget}), journal.Default())
-=======
-	ctl := control.New(s.Peers.Address, holder, servers.NewRegistry(s.Callers.MaxBodyBytes), journal.Default())
->>>>>>> main
+	registry := servers.NewRegistry(s.Callers.MaxBodyBytes)
+	registry.CountAnswers(budget)
+	ctl := control.New(s.Peers.Address, holder, registry, journal.Default())
 	ctl.AwaitShares()
 	links := peers.NewLinks()
 	forwarder := peers.NewForwarder(links, clock.Boot{}, s.Callers.MaxBodyBytes)
--- a/proof/ownanswer_test.go
+++ b/proof/ownanswer_test.go
@@ -19,17 +19,10 @@
 	"github.com/baobabstack/baobabstack/internal/standin"
 )
 
-<<<<<<< HEAD
-// boundLookups sends lookups from several callers at once and checks that each one
-// gets a body bound to its own request, or no answer of a server at all. It
-// returns how many were answered.
-func boundLookups(ctx context.Context, t *testing.T, fleet *standin.Fleet, each int) int64 {
-=======
 // manyLookups sends lookups from several callers at once and checks that each one
 // gets a body bound to its own request, or no answer of a server at all. It
 // returns how many were answered.
 func manyLookups(ctx context.Context, t *testing.T, fleet *standin.Fleet, each int) int64 {
->>>>>>> main
 	t.Helper()
 	const callersAtOnce = 4
 	var answered atomic.Int64
@@ -80,11 +73,7 @@
 				}
 			})
 			fleet := rawFleet(ctx, t, 1, raw)
-<<<<<<< HEAD
-			assert.Assert(t, boundLookups(ctx, t, fleet, 200) > 0)
-=======
 			assert.Assert(t, manyLookups(ctx, t, fleet, 200) > 0)
->>>>>>> main
 		})
 	}
 }
@@ -194,11 +183,7 @@
 		}
 	})
 	fleet := rawFleet(ctx, t, 1, raw)
-<<<<<<< HEAD
-	assert.Assert(t, boundLookups(ctx, t, fleet, 10) > 0)
-=======
 	assert.Assert(t, manyLookups(ctx, t, fleet, 10) > 0)
->>>>>>> main
 }
 
 func releaseInReverse(turns []chan struct{}) {
