--- a/internal/supervisor/servers/conn.go
+++ b/internal/supervisor/servers/conn.go
@@ -101,15 +101,15 @@
 // past is a time in the past: as a deadline it ends reads and writes at once.
 var past = time.Unix(1, 0)
 
-// overdueAfter is how long an answer may take before the other connections to
+// OverdueAfter is how long an answer may take before the other connections to
 // the server are no longer trusted.
-const overdueAfter = 500 * time.Millisecond
+const OverdueAfter = 500 * time.Millisecond
 
 // exchange sends a request and waits for the whole answer, until the context
 // ends. From the call on, bytes of the request may have reached the server.
-// Overdue is called once if the answer takes longer than overdueAfter.
+// Overdue is called once if the answer takes longer than OverdueAfter.
 func (c *conn) exchange(ctx context.Context, req *http.Request, overdue func()) reply {
-	timer := time.AfterFunc(overdueAfter, overdue)
+	timer := time.AfterFunc(OverdueAfter, overdue)
 	defer timer.Stop()
 	c.spoilt = !defect.On("connection-reuse")
 	stop := context.AfterFunc(ctx, func() { _ = c.raw.SetDeadline(past) })
