--- a/internal/supervisor/servers/conn.go
+++ b/internal/supervisor/servers/conn.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/baobabstack/baobabstack/internal/defect"
+	"github.com/baobabstack/baobabstack/internal/memory"
 )
 
 // conn is one connection to a server; it carries one call at a time. It reads
@@ -21,7 +22,7 @@
 	raw     *net.TCPConn
 	limited *io.LimitedReader // bounds the bytes of one answer
 	reader  *bufio.Reader
-	maxBody int
+	answers *answerLimits
 	opened  time.Time
 	// lastUsed is when the connection last carried an answer, or was opened.
 	lastUsed time.Time
@@ -51,9 +52,14 @@
 	errUpgrade  = errors.New("the server changed the protocol")
 )
 
-// dial opens a connection. No byte is sent on it. Answers have bodies of at most
-// maxBody bytes.
-func dial(ctx context.Context, maxBody int, address string) (*conn, error) {
+// answerLimits bounds what answers may take.
+type answerLimits struct {
+	maxBodyBytes int
+	memory       *memory.Budget // counts bodies while they are read
+}
+
+// dial opens a connection. No byte is sent on it.
+func dial(ctx context.Context, answers *answerLimits, address string) (*conn, error) {
 	var dialer net.Dialer
 	opened, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
@@ -66,7 +72,7 @@
 	}
 	limited := &io.LimitedReader{R: raw}
 	now := time.Now()
-	return &conn{raw: raw, limited: limited, reader: bufio.NewReader(limited), maxBody: maxBody, opened: now, lastUsed: now}, nil
+	return &conn{raw: raw, limited: limited, reader: bufio.NewReader(limited), answers: answers, opened: now, lastUsed: now}, nil
 }
 
 // usable reports whether the connection may carry a call: nothing has come on it
@@ -108,7 +114,7 @@
 	c.spoilt = !defect.On("connection-reuse")
 	stop := context.AfterFunc(ctx, func() { _ = c.raw.SetDeadline(past) })
 	defer stop()
-	c.limited.N = int64(maxHeadBytes + c.maxBody)
+	c.limited.N = int64(maxHeadBytes + c.answers.maxBodyBytes)
 	if err := req.Write(c.raw); err != nil {
 		return reply{err: errors.WithStack(err)}
 	}
@@ -143,19 +149,39 @@
 	if res.ContentLength < 0 && len(res.TransferEncoding) == 0 && mayHaveBody(method, res.StatusCode) && !defect.On("answer-without-length") {
 		return reply{err: errors.WithStack(errNoLength)}
 	}
-	if res.ContentLength > int64(c.maxBody) {
+	limit := c.answers.maxBodyBytes
+	if res.ContentLength > int64(limit) {
 		return reply{err: errors.WithStack(errTooLarge)}
 	}
-	body, err := io.ReadAll(io.LimitReader(res.Body, int64(c.maxBody)+1))
+	counted := &countedReader{r: io.LimitReader(res.Body, int64(limit)+1), budget: c.answers.memory}
+	defer counted.release()
+	body, err := io.ReadAll(counted)
 	switch {
 	case err != nil:
 		return reply{err: errors.WithStack(err)}
-	case len(body) > c.maxBody:
+	case len(body) > limit:
 		return reply{err: errors.WithStack(errTooLarge)}
 	}
 	return reply{status: res.StatusCode, header: res.Header, body: body}
 }
 
+// countedReader counts the bytes read against a budget until they are released.
+type countedReader struct {
+	r      io.Reader
+	budget *memory.Budget
+	bytes  int
+}
+
+// Read implements io.Reader.
+func (c *countedReader) Read(p []byte) (int, error) {
+	n, err := c.r.Read(p)
+	c.bytes += n
+	c.budget.Add(n)
+	return n, err
+}
+
+func (c *countedReader) release() { c.budget.Release(c.bytes) }
+
 func (c *conn) close() { _ = c.raw.Close() }
 
 func mayHaveBody(method string, status int) bool {
--- a/internal/supervisor/servers/pool.go
+++ b/internal/supervisor/servers/pool.go
@@ -20,7 +20,7 @@
 // pool holds the connections of this entry to one server. Calls that find all
 // of them in use wait in the order in which they came.
 type pool struct {
-	maxBody int
+	answers *answerLimits
 	address string
 
 	mu      sync.Mutex
@@ -42,8 +42,8 @@
 	err error
 }
 
-func newPool(maxBody int, address string, limit int) *pool {
-	return &pool{maxBody: maxBody, address: address, limit: limit}
+func newPool(answers *answerLimits, address string, limit int) *pool {
+	return &pool{answers: answers, address: address, limit: limit}
 }
 
 // setLimit bounds the open connections from now on.
--- a/internal/supervisor/servers/registry.go
+++ b/internal/supervisor/servers/registry.go
@@ -4,12 +4,13 @@
 	"github.com/baobabstack/baobabstack/internal/clock"
 	"github.com/baobabstack/baobabstack/internal/defect"
 	"github.com/baobabstack/baobabstack/internal/lists"
+	"github.com/baobabstack/baobabstack/internal/memory"
 )
 
 // Registry keeps a Server for each line of the platform's list. It is used by
 // the control goroutine only.
 type Registry struct {
-	maxBody int
+	answers *answerLimits
 	clock   clock.Clock
 	servers map[string]*Server
 }
@@ -17,9 +18,14 @@
 // NewRegistry returns a registry of servers whose answers have bodies of at most
 // maxBodyBytes.
 func NewRegistry(maxBodyBytes int) *Registry {
-	return &Registry{maxBody: maxBodyBytes, clock: clock.Boot{}, servers: make(map[string]*Server)}
+	answers := &answerLimits{maxBodyBytes: maxBodyBytes, memory: memory.NewBudget(0)}
+	return &Registry{answers: answers, clock: clock.Boot{}, servers: make(map[string]*Server)}
 }
 
+// CountAnswers counts the bodies of answers against a budget while they are
+// read. It must be called before Apply.
+func (r *Registry) CountAnswers(b *memory.Budget) { r.answers.memory = b }
+
 // Apply brings the registry in line with the lists and returns the servers by
 // service. A server that keeps its id and address keeps its connections and
 // counters.
@@ -43,7 +49,7 @@
 func (r *Registry) keep(info lists.Server, limit int) *Server {
 	old, known := r.servers[info.ID]
 	if !known || old.Info.Address != info.Address || old.Info.Service != info.Service {
-		return newServer(info, r.clock, newPool(r.maxBody, info.Address, limit))
+		return newServer(info, r.clock, newPool(r.answers, info.Address, limit))
 	}
 	old.pool.setLimit(limit)
 	if old.Info == info {
