--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -21,6 +21,7 @@
 	"github.com/baobabstack/baobabstack/internal/supervisor/configuration"
 	"github.com/baobabstack/baobabstack/internal/supervisor/control"
 	"github.com/baobabstack/baobabstack/internal/supervisor/peers"
+	"github.com/baobabstack/baobabstack/internal/supervisor/prober"
 	"github.com/baobabstack/baobabstack/internal/supervisor/servers"
 	"github.com/baobabstack/baobabstack/internal/supervisor/shares"
 	"github.com/baobabstack/baobabstack/internal/tracing"
@@ -42,7 +43,9 @@
 	budget.CountHTTP()
 	holder := &view.Holder{}
 	book := shares.NewBook(clock.Boot{})
-	ctl := control.New(s.Peers.Address, holder, servers.NewRegistry(s.Callers.MaxBodyBytes), journal.Default())
+	registry := servers.NewRegistry(s.Callers.MaxBodyBytes)
+	registry.CountAnswers(budget)
+	ctl := control.New(s.Peers.Address, holder, registry, journal.Default())
 	ctl.AwaitShares()
 	links := peers.NewLinks()
 	forwarder := peers.NewForwarder(links, clock.Boot{}, s.Callers.MaxBodyBytes)
@@ -58,16 +61,14 @@
 
 	root := suture.New("entry", suture.Spec{EventHook: func(e suture.Event) { log.Warnf("%s", e) }})
 	root.Add(ctl)
-	root.Add(peerService)
 	addWatchers(root, s, holder, ctl, peerService)
-	root.Add(shares.NewService(book, holder, links, clock.Boot{}, func() bool { return ctl.Send(control.SharesUsable{}) }))
 	operators := admin.NewService(s.Admin.Address, holder)
-	root.Add(operators)
 	front, err := callers.NewService(s.Callers, handler)
 	if err != nil {
 		return err
 	}
-	root.Add(front)
+	borrower := shares.NewService(book, holder, links, clock.Boot{}, func() bool { return ctl.Send(control.SharesUsable{}) })
+	add(root, prober.NewService(holder, clock.Boot{}), peerService, borrower, operators, front)
 
 	leave := &stopper{settings: s.Stop, control: ctl, holder: holder, unready: operators.SetUnready, callers: front, owned: tickets, log: log}
 	runTree(ctx, root, log, leave.stop)
@@ -110,3 +111,9 @@
 		root.Add(configuration.NewWatcher(name, source, holder, ctl))
 	}
 }
+
+func add(root *suture.Supervisor, children ...suture.Service) {
+	for _, child := range children {
+		root.Add(child)
+	}
+}
--- a/proof/stall_test.go
+++ b/proof/stall_test.go
@@ -93,7 +93,7 @@
 		assert.NilError(t, err)
 		all = append(all, c)
 	}
-	waitFor(ctx, t, func() bool { return bodyBytesOf(t, entry) > 4<<20 })
+	waitFor(t, "bodies to be held", func() bool { return bodyBytesOf(t, entry) > 4<<20 })
 	var ran, refused int
 	for i, c := range all {
 		// Half of them leave before the last byte.
@@ -123,7 +123,7 @@
 		started += len(s.Ran())
 	}
 	assert.Equal(t, started, ran)
-	waitFor(ctx, t, func() bool {
+	waitFor(t, "a booking to fit", func() bool {
 		// A call makes the garbage collector's work seen.
 		res, err := standin.Call(ctx, http.MethodPost, entry.URL()+"/moves/book", body[:bodyBytes/2], nil)
 		assert.NilError(t, err)
@@ -131,14 +131,6 @@
 	})
 }
 
-func waitFor(ctx context.Context, t *testing.T, done func() bool) {
-	t.Helper()
-	for !done() {
-		assert.NilError(t, ctx.Err())
-		time.Sleep(20 * time.Millisecond)
-	}
-}
-
 // bodyBytesOf reads what the entry counts against its memory budget.
 func bodyBytesOf(t *testing.T, e *standin.EntryProcess) float64 {
 	t.Helper()
