--- a/internal/dispatch/tickets_test.go
+++ b/internal/dispatch/tickets_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/baobabstack/baobabstack/internal/call"
 	"github.com/baobabstack/baobabstack/internal/clock"
@@ -64,7 +65,12 @@
 	}
 	close(end)
 	all.Wait()
-	tickets.Wait()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if tickets.Busy() == 0 {
+			return poll.Success()
+		}
+		return poll.Continue("%d calls with tickets are in flight", tickets.Busy())
+	})
 	again := tickets.call(t.Context(), ticketCall(text, time.Minute), never)
 	assert.Equal(t, string(again.Body), "booked")
 }
@@ -96,5 +102,5 @@
 	}()
 	answer := tickets.call(t.Context(), ticketCall(text, time.Minute), func(context.Context, *call.Request) call.Answer { panic("the call ran twice") })
 	assert.Equal(t, answer.Outcome, outcome.Unknown)
-	tickets.Wait()
+	assert.Equal(t, tickets.Busy(), 0)
 }
--- a/internal/supervisor/servers/pool_test.go
+++ b/internal/supervisor/servers/pool_test.go
@@ -8,6 +8,8 @@
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
+
+	"github.com/baobabstack/baobabstack/internal/memory"
 )
 
 // listen accepts connections and keeps them open.
@@ -30,7 +32,7 @@
 
 func testPool(t *testing.T, limit int) *pool {
 	t.Helper()
-	return newPool(1<<20, listen(t), limit)
+	return newPool(&answerLimits{maxBodyBytes: 1 << 20, memory: memory.NewBudget(1 << 20)}, listen(t), limit)
 }
 
 func get(t *testing.T, p *pool) *conn {
