Wake the frozen entry before the restarted one must be ready

With a peer frozen a restarted entry now waits for peers' versions, so a round took 1.2 s (14.7 s in all).

--- a/proof/limits_test.go
+++ b/proof/limits_test.go
@@ -123,8 +123,10 @@
 		assert.NilError(t, killed.Signal(syscall.SIGKILL))
 		_ = killed.Wait()
 		assert.NilError(t, fleet.StartEntry(killed))
-		assert.NilError(t, killed.WaitReady(ctx))
+		// Longer than a transfer may take.
+		time.Sleep(2 * share.TransferTimeout)
 		assert.NilError(t, frozen.Signal(syscall.SIGCONT))
+		assert.NilError(t, killed.WaitReady(ctx))
 		// Between two plans that both stay within the bound that is checked.
 		fleet.Platform.Publish("allowances", limitedAllowances(rate-round%2, burst, 300))
 		time.Sleep(200 * time.Millisecond)
