--- a/proof/noisy_test.go
+++ b/proof/noisy_test.go
@@ -62,7 +62,7 @@
 			}
 		})
 	}
-	waitFor(ctx, t, func() bool { return refused.Load() > 0 })
+	waitFor(t, "a refusal", func() bool { return refused.Load() > 0 })
 	began := time.Now()
 	for i := range quietCalls {
 		res, err := standin.Call(ctx, http.MethodGet, url, "", nil)
