--- a/internal/supervisor/servers/conn.go
+++ b/internal/supervisor/servers/conn.go
@@ -58,6 +58,11 @@
 	memory       *memory.Budget // counts bodies while they are read
 }
 
+// newAnswerLimits returns limits that count bodies against no one's budget.
+func newAnswerLimits(maxBodyBytes int) *answerLimits {
+	return &answerLimits{maxBodyBytes: maxBodyBytes, memory: memory.NewBudget(0)}
+}
+
 // dial opens a connection. No byte is sent on it.
 func dial(ctx context.Context, answers *answerLimits, address string) (*conn, error) {
 	var dialer net.Dialer
--- a/internal/supervisor/servers/pool_test.go
+++ b/internal/supervisor/servers/pool_test.go
@@ -30,7 +30,7 @@
 
 func testPool(t *testing.T, limit int) *pool {
 	t.Helper()
-	return newPool(1<<20, listen(t), limit)
+	return newPool(newAnswerLimits(1<<20), listen(t), limit)
 }
 
 func get(t *testing.T, p *pool) *conn {
--- a/internal/supervisor/servers/registry.go
+++ b/internal/supervisor/servers/registry.go
@@ -18,8 +18,7 @@
 // NewRegistry returns a registry of servers whose answers have bodies of at most
 // maxBodyBytes.
 func NewRegistry(maxBodyBytes int) *Registry {
-	answers := &answerLimits{maxBodyBytes: maxBodyBytes, memory: memory.NewBudget(0)}
-	return &Registry{answers: answers, clock: clock.Boot{}, servers: make(map[string]*Server)}
+	return &Registry{answers: newAnswerLimits(maxBodyBytes), clock: clock.Boot{}, servers: make(map[string]*Server)}
 }
 
 // CountAnswers counts the bodies of answers against a budget while they are
