--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"time"
 
@@ -9,6 +10,8 @@
 
 	"github.com/baobabstack/baobabstack/internal/call"
 	"github.com/baobabstack/baobabstack/internal/clock"
+	"github.com/baobabstack/baobabstack/internal/defect"
+	"github.com/baobabstack/baobabstack/internal/policy/admit"
 	"github.com/baobabstack/baobabstack/internal/policy/outcome"
 	"github.com/baobabstack/baobabstack/internal/supervisor/shares"
 	"github.com/baobabstack/baobabstack/internal/view"
@@ -21,12 +24,14 @@
 	clock  clock.Clock
 	book   *shares.Book
 	queues queues
+	// most is the calls of all services that the entry takes.
+	most int
 }
 
 // NewLimits returns an admission that reads the lists from the holder and this
-// entry's shares from the book.
-func NewLimits(holder *view.Holder, clk clock.Clock, book *shares.Book) *Limits {
-	return &Limits{holder: holder, clock: clk, book: book, queues: queues{clock: clk}}
+// entry's shares from the book. The entry takes at most so many calls at a time.
+func NewLimits(holder *view.Holder, clk clock.Clock, book *shares.Book, maxInFlight int) *Limits {
+	return &Limits{holder: holder, clock: clk, book: book, queues: queues{clock: clk}, most: maxInFlight}
 }
 
 // Admit takes the call's share of its allowance and a place at the service's
@@ -45,7 +50,11 @@
 	if refusal.Reason != "" {
 		return nil, refuse(shareStatus(refusal.Reason), string(refusal.Reason), refusal.RetryAfter)
 	}
-	leave, answer := l.queues.enter(ctx, req, allowance.Priority, placesFor(snapshot, req.Service))
+	bounds := l.boundsOf(snapshot, req.Service)
+	widen := func(running int) admit.Bounds {
+		return bounds.WithFree(running, l.freeSlots(snapshot, req.Service), l.most)
+	}
+	leave, answer := l.queues.enter(ctx, req, allowance.Priority, bounds, widen)
 	if answer != nil {
 		pass.Refund()
 		return nil, answer
@@ -64,16 +73,33 @@
 }
 
 // overcommit is how many times the slots of a service all entries together may
-// have in flight, so that an entry with more than its part of the calls can
-// still use slots that the others leave free.
-const overcommit = 4
+// have in flight by their parts. What is beyond the slots waits at the servers,
+// where no fair queue orders it.
+const overcommit = 2
 
-// placesFor returns the calls of a service that this entry may have in flight.
-func placesFor(snapshot *view.Snapshot, service string) int {
+// boundsOf returns the calls of a service that this entry takes.
+func (l *Limits) boundsOf(snapshot *view.Snapshot, service string) admit.Bounds {
+	if defect.On("no-service-bound") {
+		return admit.Bounds{Running: math.MaxInt, Waiting: math.MaxInt}
+	}
 	slots := snapshot.Allowances.Services[service].Slots
 	entries := len(snapshot.Peers) + 1
 	places := (overcommit*slots*len(snapshot.Services[service]) + entries - 1) / entries
-	return max(places, slots)
+	return admit.BoundsOf(max(places, slots), l.most)
+}
+
+// freeSlots returns the slots of a service that its servers' latest reports leave
+// free.
+func (l *Limits) freeSlots(snapshot *view.Snapshot, service string) int {
+	slots := snapshot.Allowances.Services[service].Slots
+	now := l.clock.Now()
+	free := 0.0
+	for _, s := range snapshot.Services[service] {
+		if c, ok := s.Candidate(now, slots); ok {
+			free += max(float64(slots)-c.Others-float64(c.InFlight), 0)
+		}
+	}
+	return int(free)
 }
 
 // refuse returns a refusal that says not-run, and counts it.
--- a/internal/standin/cluster.go
+++ b/internal/standin/cluster.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -25,6 +24,9 @@
 	// Callers, Peers and Admin are the entry's addresses.
 	Callers, Peers, Admin string
 
+	// CallersSettings holds further lines of the settings' [callers] table.
+	CallersSettings string
+
 	cmd *exec.Cmd
 }
 
@@ -62,13 +64,14 @@
 data_centre = "modjo"
 [callers]
 address = %q
+%s
 [peers]
 address = %q
 [admin]
 address = %q
 [configuration]
 url = %q
-`, e.ID, e.Callers, e.Peers, e.Admin, platformURL)
+`, e.ID, e.Callers, e.CallersSettings, e.Peers, e.Admin, platformURL)
 }
 
 // Start writes the settings file into dir and runs the binary. Its log goes to
@@ -107,16 +110,6 @@
 	return lists.VM{ID: e.ID, Address: e.Peers, DataCentre: "modjo", State: lists.Live}
 }
 
-// FreeAddress returns a loopback address with a port that is free now.
-func FreeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.WithStack(err)
-	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
-}
-
 // Response is a caller's view of an answer.
 type Response struct {
 	// Status is the HTTP status.
--- a/internal/supervisor/peers/links.go
+++ b/internal/supervisor/peers/links.go
@@ -28,14 +28,25 @@
 	keepaliveParams = keepalive.ClientParameters{Time: 10 * time.Second, Timeout: 2 * time.Second}
 )
 
+// linkLinger is how long the connection to a VM that left the list stays open,
+// so that calls over it can end.
+const linkLinger = time.Minute
+
 // Links holds one gRPC connection to each peer. It is safe for concurrent use.
 type Links struct {
 	mu    sync.Mutex
-	links map[string]*grpc.ClientConn
+	links map[string]*link
+}
+
+type link struct {
+	conn *grpc.ClientConn
+	// unlistedSince is when the peer was first missing from the list; 0 while it
+	// is listed.
+	unlistedSince time.Duration
 }
 
 // NewLinks returns links without connections.
-func NewLinks() *Links { return &Links{links: make(map[string]*grpc.ClientConn)} }
+func NewLinks() *Links { return &Links{links: make(map[string]*link)} }
 
 // Client returns a client of the peer at the address; its connection is opened
 // on first use.
@@ -51,16 +62,17 @@
 func (l *Links) Conn(address string) (*grpc.ClientConn, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if link, ok := l.links[address]; ok {
-		return link, nil
+	if known, ok := l.links[address]; ok {
+		return known.conn, nil
 	}
-	link, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithConnectParams(connectParams), grpc.WithKeepaliveParams(keepaliveParams))
+	conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithConnectParams(connectParams), grpc.WithKeepaliveParams(keepaliveParams),
+		grpc.WithStatsHandler(byteCounter{}))
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	l.links[address] = link
-	return link, nil
+	l.links[address] = &link{conn: conn}
+	return conn, nil
 }
 
 // Drop closes a connection that went silent, so that the next request to the
@@ -69,7 +81,7 @@
 func (l *Links) Drop(address string, conn *grpc.ClientConn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.links[address] != conn {
+	if known, ok := l.links[address]; !ok || known.conn != conn {
 		return false
 	}
 	delete(l.links, address)
@@ -78,19 +90,34 @@
 	return true
 }
 
-// Keep closes the connections to all but the given VMs.
-func (l *Links) Keep(vms []lists.VM) {
-	wanted := make(map[string]bool, len(vms))
+// Close closes all connections.
+func (l *Links) Close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for address, known := range l.links {
+		_ = known.conn.Close()
+		delete(l.links, address)
+	}
+}
+
+// Keep closes the connections to VMs that have been missing from the list for
+// linkLinger. Now is the monotonic time.
+func (l *Links) Keep(vms []lists.VM, now time.Duration) {
+	listed := make(map[string]bool, len(vms))
 	for _, vm := range vms {
-		wanted[vm.Address] = true
+		listed[vm.Address] = true
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for address, link := range l.links {
-		if wanted[address] {
-			continue
+	for address, known := range l.links {
+		switch {
+		case listed[address]:
+			known.unlistedSince = 0
+		case known.unlistedSince == 0:
+			known.unlistedSince = now
+		case now-known.unlistedSince >= linkLinger:
+			_ = known.conn.Close()
+			delete(l.links, address)
 		}
-		_ = link.Close()
-		delete(l.links, address)
 	}
 }
--- a/internal/supervisor/servers/pool.go
+++ b/internal/supervisor/servers/pool.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
 
 	"github.com/baobabstack/baobabstack/internal/defect"
@@ -21,7 +20,7 @@
 // pool holds the connections of this entry to one server. Calls that find all
 // of them in use wait in the order in which they came.
 type pool struct {
-	engine  *nbhttp.Engine
+	maxBody int // bytes of an answer's body
 	address string
 
 	mu      sync.Mutex
@@ -43,8 +42,8 @@
 	err error
 }
 
-func newPool(engine *nbhttp.Engine, address string, limit int) *pool {
-	return &pool{engine: engine, address: address, limit: limit}
+func newPool(maxBody int, address string, limit int) *pool {
+	return &pool{maxBody: maxBody, address: address, limit: limit}
 }
 
 // setLimit bounds the open connections from now on.
--- a/internal/supervisor/servers/pool_test.go
+++ b/internal/supervisor/servers/pool_test.go
@@ -6,7 +6,6 @@
 	"testing"
 	"time"
 
-	"github.com/lesismal/nbio/nbhttp"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 )
@@ -31,10 +30,7 @@
 
 func testPool(t *testing.T, limit int) *pool {
 	t.Helper()
-	engine := nbhttp.NewEngine(nbhttp.Config{Name: "test"})
-	assert.NilError(t, engine.Start())
-	t.Cleanup(engine.Stop)
-	return newPool(engine, listen(t), limit)
+	return newPool(1<<20, listen(t), limit)
 }
 
 func get(t *testing.T, p *pool) *conn {
--- a/internal/supervisor/servers/registry.go
+++ b/internal/supervisor/servers/registry.go
@@ -1,8 +1,6 @@
 package servers
 
 import (
-	"github.com/lesismal/nbio/nbhttp"
-
 	"github.com/baobabstack/baobabstack/internal/clock"
 	"github.com/baobabstack/baobabstack/internal/defect"
 	"github.com/baobabstack/baobabstack/internal/lists"
@@ -11,14 +9,15 @@
 // Registry keeps a Server for each line of the platform's list. It is used by
 // the control goroutine only.
 type Registry struct {
-	engine  *nbhttp.Engine
+	maxBody int
 	clock   clock.Clock
 	servers map[string]*Server
 }
 
-// NewRegistry returns a registry whose connections run on the engine.
-func NewRegistry(engine *nbhttp.Engine) *Registry {
-	return &Registry{engine: engine, clock: clock.Boot{}, servers: make(map[string]*Server)}
+// NewRegistry returns a registry of servers whose answers have bodies of at most
+// maxBodyBytes.
+func NewRegistry(maxBodyBytes int) *Registry {
+	return &Registry{maxBody: maxBodyBytes, clock: clock.Boot{}, servers: make(map[string]*Server)}
 }
 
 // Apply brings the registry in line with the lists and returns the servers by
@@ -44,7 +43,7 @@
 func (r *Registry) keep(info lists.Server, limit int) *Server {
 	old, known := r.servers[info.ID]
 	if !known || old.Info.Address != info.Address || old.Info.Service != info.Service {
-		return newServer(info, r.clock, newPool(r.engine, info.Address, limit))
+		return newServer(info, r.clock, newPool(r.maxBody, info.Address, limit))
 	}
 	old.pool.setLimit(limit)
 	if old.Info == info {
--- a/proof/drain_server_test.go
+++ b/proof/drain_server_test.go
@@ -79,7 +79,7 @@
 	callers := startTraffic(t, fleet, 8, time.Millisecond)
 	s := fleet.Servers["stock-1"]
 	s.SetLeaving(true)
-	waitFor(t, "stock-1 to be left out", func() bool {
+	waitUntil(t, "stock-1 to be left out", func() bool {
 		n := len(s.Ran())
 		answered := callers.answered()
 		for callers.answered() < answered+50 && ctx.Err() == nil {
@@ -89,10 +89,10 @@
 	})
 	n := len(s.Ran())
 	s.SetLeaving(false)
-	waitFor(t, "stock-1 to get work", func() bool { return len(s.Ran()) > n })
+	waitUntil(t, "stock-1 to get work", func() bool { return len(s.Ran()) > n })
 }
 
-func waitFor(t *testing.T, what string, done func() bool) {
+func waitUntil(t *testing.T, what string, done func() bool) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if done() {
--- a/proof/measuring_test.go
+++ b/proof/measuring_test.go
@@ -33,7 +33,7 @@
 		_ = e.Wait()
 	}
 	for _, s := range fleet.Servers {
-		waitFor(t, s.Info.ID+" to see the connections close", func() bool { return s.Open() == 0 })
+		waitUntil(t, s.Info.ID+" to see the connections close", func() bool { return s.Open() == 0 })
 	}
 	for _, e := range fleet.Entries {
 		assert.NilError(t, fleet.StartEntry(e))
@@ -78,7 +78,7 @@
 	}
 	for range 2 {
 		callers := startTraffic(t, fleet, 64, 0)
-		waitFor(t, "answers", func() bool { return callers.answered() > 200 })
+		waitUntil(t, "answers", func() bool { return callers.answered() > 200 })
 		tally := callers.stop()
 		assert.Equal(t, tally["GET 200 answered"]+tally["POST 200 answered"], sum(tally), "%v", tally)
 		restartAll(ctx, t, fleet)
--- a/proof/silent_test.go
+++ b/proof/silent_test.go
@@ -33,7 +33,7 @@
 		f.Platform.Publish(string(lists.ServersName), standin.SampleServers(list))
 	}})
 	callers := startTraffic(t, fleet, 32, 0)
-	waitFor(t, "idle connections", func() bool { return callers.answered() > 1000 })
+	waitUntil(t, "idle connections", func() bool { return callers.answered() > 1000 })
 	callers.stop()
 	for _, r := range relays {
 		assert.Assert(t, r.Open() >= 4, "%d connections, so this shows nothing", r.Open())
@@ -87,7 +87,7 @@
 	defer cancel()
 	fleet := startFleet(ctx, t, standin.FleetOptions{Entries: 1})
 	callers := startTraffic(t, fleet, 8, 0)
-	waitFor(t, "a short delay of hedges", func() bool { return callers.answered() > 1000 })
+	waitUntil(t, "a short delay of hedges", func() bool { return callers.answered() > 1000 })
 	callers.stop()
 	for _, s := range fleet.Servers {
 		s.SetSlow(200)
