--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -58,12 +58,10 @@
 
 	root := suture.New("entry", suture.Spec{EventHook: func(e suture.Event) { log.Warnf("%s", e) }})
 	root.Add(ctl)
-	root.Add(peerService)
 	addWatchers(root, s, holder, ctl, peerService)
-	root.Add(shares.NewService(book, holder, links, clock.Boot{}, func() bool { return ctl.Send(control.SharesUsable{}) }))
-	root.Add(prober.NewService(holder, clock.Boot{}))
-	root.Add(admin.NewService(s.Admin.Address, holder))
-	root.Add(callers.NewService(s.Callers.Address, s.Callers.MaxBodyBytes, handler))
+	borrower := shares.NewService(book, holder, links, clock.Boot{}, func() bool { return ctl.Send(control.SharesUsable{}) })
+	add(root, prober.NewService(holder, clock.Boot{}), peerService, borrower, admin.NewService(s.Admin.Address, holder),
+		callers.NewService(s.Callers.Address, s.Callers.MaxBodyBytes, handler))
 
 	runTree(ctx, root, log, func() { drain(ctl, log, handler, tickets) })
 	flushCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), flushTimeout)
@@ -112,3 +110,9 @@
 		log.Warnf("calls are still in flight after %s", drainTimeout)
 	}
 }
+
+func add(root *suture.Supervisor, children ...suture.Service) {
+	for _, child := range children {
+		root.Add(child)
+	}
+}
