--- a/internal/supervisor/servers/connect.go
+++ b/internal/supervisor/servers/connect.go
@@ -70,7 +70,7 @@
 	p.mu.Lock()
 	p.lastDial = time.Now()
 	p.mu.Unlock()
-	c, err := dial(ctx, p.maxBody, p.address)
+	c, err := dial(ctx, p.answers, p.address)
 	if err != nil {
 		p.release()
 		return nil, err
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -28,10 +28,8 @@
 	"github.com/baobabstack/baobabstack/internal/view"
 )
 
-const (
-	drainTimeout = 30 * time.Second
-	flushTimeout = 2 * time.Second
-)
+// flushTimeout bounds the export of the last spans.
+const flushTimeout = 2 * time.Second
 
 // Run runs an entry until the context ends, then stops it gracefully: no new
 // calls, calls in flight end, then the listeners close.
@@ -45,7 +43,9 @@
 	budget.CountHTTP()
 	holder := &view.Holder{}
 	book := shares.NewBook(clock.Boot{})
-	ctl := control.New(s.Peers.Address, holder, servers.NewRegistry(s.Callers.MaxBodyBytes), journal.Default())
+	registry := servers.NewRegistry(s.Callers.MaxBodyBytes)
+	registry.CountAnswers(budget)
+	ctl := control.New(s.Peers.Address, holder, registry, journal.Default())
 	ctl.AwaitShares()
 	links := peers.NewLinks()
 	forwarder := peers.NewForwarder(links, clock.Boot{}, s.Callers.MaxBodyBytes)
@@ -59,14 +59,19 @@
 	root := suture.New("entry", suture.Spec{EventHook: func(e suture.Event) { log.Warnf("%s", e) }})
 	root.Add(ctl)
 	addWatchers(root, s, holder, ctl, peerService)
+	operators := admin.NewService(s.Admin.Address, holder)
+	front := callers.NewService(s.Callers, handler)
 	borrower := shares.NewService(book, holder, links, clock.Boot{}, func() bool { return ctl.Send(control.SharesUsable{}) })
-	add(root, prober.NewService(holder, clock.Boot{}), peerService, borrower, admin.NewService(s.Admin.Address, holder),
-		callers.NewService(s.Callers.Address, s.Callers.MaxBodyBytes, handler))
+	add(root, prober.NewService(holder, clock.Boot{}), peerService, borrower, operators, front)
 
-	runTree(ctx, root, log, func() { drain(ctl, log, handler, tickets) })
+	leave := &stopper{settings: s.Stop, control: ctl, holder: holder, unready: operators.SetUnready, callers: front, owned: tickets, log: log}
+	runTree(ctx, root, log, leave.stop)
 	flushCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), flushTimeout)
 	defer cancel()
-	return stopTracing(flushCtx)
+	if err := stopTracing(flushCtx); err != nil {
+		log.Warnf("the last spans are not exported: %v", err)
+	}
+	return nil
 }
 
 // runTree runs the tree until the context ends and stops it after the drain.
@@ -82,9 +87,6 @@
 	}
 }
 
-// waiter is a part with calls in flight.
-type waiter interface{ Wait() }
-
 // addWatchers adds a watcher of each list.
 func addWatchers(root *suture.Supervisor, s *settings.Settings, holder *view.Holder, ctl *control.Control, p *peers.Service) {
 	source := configuration.Source{URL: s.Configuration.URL, Self: s.Peers.Address, DigestAge: p.DigestAge}
@@ -93,24 +95,6 @@
 	}
 }
 
-// drain stops new calls and waits for those in flight.
-func drain(ctl *control.Control, log logs.Logger, parts ...waiter) {
-	ctl.Send(control.StopRequested{})
-	idle := make(chan struct{})
-	go func() {
-		for _, part := range parts {
-			part.Wait()
-		}
-		close(idle)
-	}()
-	select {
-	case <-idle:
-		log.Infof("all calls have ended")
-	case <-time.After(drainTimeout):
-		log.Warnf("calls are still in flight after %s", drainTimeout)
-	}
-}
-
 func add(root *suture.Supervisor, children ...suture.Service) {
 	for _, child := range children {
 		root.Add(child)
