--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -152,7 +152,8 @@
 }
 
 // hedge makes another attempt beside slow ones: at another server, or over
-// another connection if all were tried.
+// another connection if all were tried. A call that is overdue may use the budget
+// of retries too, since its connection may have gone silent.
 func (r *run) hedge(ctx context.Context) {
 	if !r.req.Idempotent && !defect.On("hedge-of-bookings") {
 		return
@@ -160,7 +161,8 @@
 	if r.count == maxAttempts || r.late(ctx) {
 		return
 	}
-	if !r.budgets.takeHedge() {
+	overdue := r.clock.Now()-r.start >= servers.OverdueAfter
+	if !r.budgets.takeHedge() && (!overdue || !r.budgets.takeRetry()) {
 		extraRefused.Inc()
 		return
 	}
--- a/internal/supervisor/servers/attempt.go
+++ b/internal/supervisor/servers/attempt.go
@@ -83,7 +83,7 @@
 	}
 	sentAt := time.Now()
 	r := c.exchange(ctx, newHTTPRequest(req, s.Info.Address, left), func() { s.pool.suspect(sentAt) })
-	if errors.Is(r.err, context.DeadlineExceeded) {
+	if r.err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		s.pool.suspect(sentAt)
 	}
 	if r.err != nil {
