--- a/internal/httpserver/budget.go
+++ b/internal/httpserver/budget.go
@@ -1,6 +1,10 @@
 package httpserver
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+
+	"github.com/baobabstack/baobabstack/internal/defect"
+)
 
 // budget bounds the bytes of the bodies held for all connections of a listener.
 type budget struct {
@@ -10,7 +14,7 @@
 
 // take reserves bytes for a request, unless they are over the limit.
 func (b *budget) take(n int) bool {
-	if used := b.used.Add(int64(n)); b.limit > 0 && used > b.limit {
+	if used := b.used.Add(int64(n)); b.limit > 0 && used > b.limit && !defect.On("no-memory-budget") {
 		b.used.Add(int64(-n))
 		return false
 	}
