Bound the wait for the engine's stop

Cause: the library's stop sometimes waits for ever for a poller that sits in epoll_wait after its wake-up (nbio Engine.Stop, goroutine in poller.readWriteLoop). A test run hung until its time limit twice, at 600 s and at 150 s, and one of six parallel runs at 14 s; an entry could have stayed alive after its drain. Why the wake-up is missed was not found.

Change: the listener's stop waits 2 s and says so in the log.

--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -4,6 +4,7 @@
 package httpserver
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -55,6 +56,7 @@
 	// and could take the answer away from the caller.
 	lingerTimeout = 2 * time.Second
 	acceptPause   = 50 * time.Millisecond
+	stopTimeout   = 2 * time.Second
 
 	maxHeadBytes   = 32 << 10
 	maxHeaders     = 100
@@ -125,11 +127,16 @@
 // Busy returns the number of requests that are not answered in full.
 func (s *Server) Busy() int { return int(s.busy.Load()) }
 
-// Stop closes the listener and all connections.
+// Stop closes the listener and all connections. The library's poller sometimes
+// misses its wake-up and keeps its stop waiting, so that wait is bounded.
 func (s *Server) Stop() {
 	s.listener.Close()
 	s.accepted.Wait()
-	s.engine.Stop()
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	if err := s.engine.Engine.Shutdown(ctx); err != nil {
+		log.Warnf("%s: the engine did not stop in %s", s.options.Name, stopTimeout)
+	}
 }
 
 func (s *Server) accept() {
