Measure the memory of an idle connection

Change: bench/capacity opens 1,000, 3,000 and 6,000 idle connections to one entry and fits a slope to its resident memory.

--- a/bench/capacity/capacity.go
+++ b/bench/capacity/capacity.go
@@ -45,7 +45,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return lines(servers, entries), nil
+	idle, err := connections(ctx, o.Binary)
+	if err != nil {
+		return nil, err
+	}
+	return append(lines(servers, entries), idle...), nil
 }
 
 func measureAll(ctx context.Context, binary string, sizes []size, w window) ([]sample, error) {
