--- a/bench/capacity/fleet.go
+++ b/bench/capacity/fleet.go
@@ -40,13 +40,16 @@
 }
 
 const (
-	peerBytes    = "baobab_peer_bytes_total"
-	settleTime   = 2 * time.Second
-	spreadLimit  = 30 * time.Second
-	pollInterval = 5 * time.Millisecond
-	listeners    = 8
-	serverSlots  = 6
-	serviceCount = 260
+	peerBytes  = "baobab_peer_bytes_total"
+	settleTime = 2 * time.Second
+	// settlePerEntry is the time in which an entry meets one more peer; until it
+	// has met all, new connections cost it processor time.
+	settlePerEntry = 750 * time.Millisecond
+	spreadLimit    = 30 * time.Second
+	pollInterval   = 5 * time.Millisecond
+	listeners      = 8
+	serverSlots    = 6
+	serviceCount   = 260
 )
 
 // window is how long an idle or changing fleet is watched.
@@ -69,7 +72,7 @@
 	if err := p.change(ctx, 0); err != nil {
 		return sample{}, err
 	}
-	time.Sleep(settleTime)
+	time.Sleep(settleTime + time.Duration(at.entries)*settlePerEntry)
 	return p.watch(ctx, w)
 }
 
