--- a/bench/limits/model.go
+++ b/bench/limits/model.go
@@ -58,7 +58,7 @@
 	arrived         time.Duration
 	started         time.Duration
 	work            time.Duration
-	ticket          *admit.Ticket
+	waiter          *admit.Waiter
 }
 
 const (
@@ -198,7 +198,7 @@
 	}
 	queue := m.queues[call.entry][c.service]
 	m.widen(queue, c.service)
-	ticket, verdict, _ := queue.Arrive(m.now, name, c.priority, m.now+callDeadline)
+	waiter, verdict, _ := queue.Arrive(m.now, name, c.priority, m.now+callDeadline)
 	if verdict == admit.Refuse {
 		m.refused[call.customer]++
 		return
@@ -209,7 +209,7 @@
 		m.send(call)
 		return
 	}
-	call.ticket = ticket
+	call.waiter = waiter
 	waiting := &m.waiting[call.entry][c.service]
 	*waiting = append(*waiting, call)
 }
@@ -265,7 +265,7 @@
 	var still []*callModel
 	for _, call := range m.waiting[entry][service] {
 		select {
-		case admitted := <-call.ticket.Decided():
+		case admitted := <-call.waiter.Decided():
 			if admitted {
 				m.send(call)
 				continue
--- a/internal/dispatch/queues.go
+++ b/internal/dispatch/queues.go
@@ -44,7 +44,7 @@
 	if running := q.running(); running >= bounds.Running {
 		bounds = widen(running)
 	}
-	ticket, verdict, wait := q.arrive(req, priority, bounds)
+	waiter, verdict, wait := q.arrive(req, priority, bounds)
 	switch verdict {
 	case admit.Run:
 		return q.leaver(), nil
@@ -52,7 +52,7 @@
 		return nil, refuse(http.StatusServiceUnavailable, "overloaded", max(wait, minRetryAfter))
 	}
 	arrived := s.clock.Now()
-	admitted := q.wait(ctx, ticket)
+	admitted := q.wait(ctx, waiter)
 	queueWait.Update((s.clock.Now() - arrived).Seconds())
 	if !admitted {
 		return nil, refuse(http.StatusServiceUnavailable, "queue-timeout", max(wait, minRetryAfter))
@@ -69,7 +69,7 @@
 	return q.policy.Running()
 }
 
-func (q *queue) arrive(req *call.Request, priority int, bounds admit.Bounds) (*admit.Ticket, admit.Verdict, time.Duration) {
+func (q *queue) arrive(req *call.Request, priority int, bounds admit.Bounds) (*admit.Waiter, admit.Verdict, time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.clock.Now()
@@ -79,9 +79,9 @@
 	return q.policy.Arrive(now, req.Customer.Name, priority, req.Deadline)
 }
 
-// wait reports whether the ticket's call may run. It ends at the ticket's latest
+// wait reports whether the waiter's call may run. It ends at the waiter's latest
 // start or when the caller leaves.
-func (q *queue) wait(ctx context.Context, t *admit.Ticket) bool {
+func (q *queue) wait(ctx context.Context, t *admit.Waiter) bool {
 	timer := time.NewTimer(t.Latest() - q.clock.Now())
 	defer timer.Stop()
 	select {
--- a/internal/policy/admit/queue.go
+++ b/internal/policy/admit/queue.go
@@ -43,7 +43,7 @@
 const (
 	// Run means that the call runs now; Done must follow.
 	Run Verdict = iota
-	// Wait means that the call's ticket will be decided.
+	// Wait means that the call waits; its Waiter tells the decision.
 	Wait
 	// Refuse means that the call can't start in time.
 	Refuse
@@ -90,8 +90,8 @@
 	return &Queue{bounds: b, flows: make(map[string]int)}
 }
 
-// Ticket is a call that arrived at a queue.
-type Ticket struct {
+// Waiter is a call that waits in a queue.
+type Waiter struct {
 	customer string
 	class    *class
 	start    float64 // virtual start time
@@ -102,17 +102,17 @@
 }
 
 // Latest returns the time by which the call must have started.
-func (t *Ticket) Latest() time.Duration { return t.latest }
+func (t *Waiter) Latest() time.Duration { return t.latest }
 
 // Decided delivers true once a waiting call may run, false if it is refused.
-func (t *Ticket) Decided() <-chan bool { return t.decided }
+func (t *Waiter) Decided() <-chan bool { return t.decided }
 
 // Arrive takes in a call of a customer with its priority and deadline. With
-// Refuse there is no ticket, and wait is the time after which a call like it
+// Refuse there is no waiter, and wait is the time after which a call like it
 // would start.
-func (q *Queue) Arrive(now time.Duration, customer string, priority int, deadline time.Duration) (t *Ticket, v Verdict, wait time.Duration) {
+func (q *Queue) Arrive(now time.Duration, customer string, priority int, deadline time.Duration) (t *Waiter, v Verdict, wait time.Duration) {
 	c := q.class(priority)
-	t = &Ticket{customer: customer, class: c, arrived: now, latest: now + (deadline-now)/waitShare, index: -1}
+	t = &Waiter{customer: customer, class: c, arrived: now, latest: now + (deadline-now)/waitShare, index: -1}
 	if q.running < q.bounds.Running && q.waiting == 0 {
 		c.stamp(t)
 		c.virtual = max(c.virtual, t.start)
@@ -152,7 +152,7 @@
 }
 
 // Cancel takes a waiting call out and reports whether it still waited.
-func (q *Queue) Cancel(t *Ticket) bool {
+func (q *Queue) Cancel(t *Waiter) bool {
 	if t.index < 0 {
 		return false
 	}
@@ -189,14 +189,14 @@
 }
 
 // next returns the waiting call that goes first.
-func (q *Queue) next() *Ticket {
+func (q *Queue) next() *Waiter {
 	q.served++
-	var first, oldest *Ticket
+	var first, oldest *Waiter
 	for _, c := range q.classes {
-		if len(c.tickets) == 0 {
+		if len(c.waiters) == 0 {
 			continue
 		}
-		head := c.tickets[0]
+		head := c.waiters[0]
 		if first == nil {
 			first = head
 		}
@@ -210,7 +210,7 @@
 	return first
 }
 
-func (q *Queue) remove(t *Ticket) {
+func (q *Queue) remove(t *Waiter) {
 	heap.Remove(t.class, t.index)
 	q.waiting--
 	if q.flows[t.customer]--; q.flows[t.customer] == 0 {
@@ -224,7 +224,7 @@
 	ahead := 0
 	for _, other := range q.classes {
 		if other.priority < c.priority {
-			ahead += len(other.tickets)
+			ahead += len(other.waiters)
 		}
 	}
 	rounds := q.flows[customer] + 1
@@ -249,9 +249,9 @@
 	if longest == customer {
 		return false
 	}
-	var newest *Ticket
+	var newest *Waiter
 	for _, c := range q.classes {
-		for _, t := range c.tickets {
+		for _, t := range c.waiters {
 			if t.customer == longest && (newest == nil || t.start >= newest.start) {
 				newest = t
 			}
@@ -275,7 +275,7 @@
 	priority int
 	virtual  float64            // start time of the latest call that went
 	finish   map[string]float64 // virtual finish time of a customer's latest call
-	tickets  []*Ticket          // a heap
+	waiters  []*Waiter          // a heap
 	sequence float64
 }
 
@@ -284,7 +284,7 @@
 const maxFinish = 256
 
 // stamp sets a call's virtual start time.
-func (c *class) stamp(t *Ticket) {
+func (c *class) stamp(t *Waiter) {
 	if len(c.finish) >= maxFinish {
 		for customer, f := range c.finish {
 			if f <= c.virtual {
@@ -301,11 +301,11 @@
 }
 
 // Len, Less, Swap, Push and Pop implement heap.Interface.
-func (c *class) Len() int { return len(c.tickets) }
+func (c *class) Len() int { return len(c.waiters) }
 
 // Less orders by virtual start time, then by arrival.
 func (c *class) Less(i, j int) bool {
-	a, b := c.tickets[i], c.tickets[j]
+	a, b := c.waiters[i], c.waiters[j]
 	if a.start != b.start {
 		return a.start < b.start
 	}
@@ -314,23 +314,23 @@
 
 // Swap swaps two calls.
 func (c *class) Swap(i, j int) {
-	c.tickets[i], c.tickets[j] = c.tickets[j], c.tickets[i]
-	c.tickets[i].index, c.tickets[j].index = i, j
+	c.waiters[i], c.waiters[j] = c.waiters[j], c.waiters[i]
+	c.waiters[i].index, c.waiters[j].index = i, j
 }
 
 // Push adds a call.
 func (c *class) Push(x any) {
-	t := x.(*Ticket)
-	t.index = len(c.tickets)
-	c.tickets = append(c.tickets, t)
+	t := x.(*Waiter)
+	t.index = len(c.waiters)
+	c.waiters = append(c.waiters, t)
 }
 
 // Pop removes the last call.
 func (c *class) Pop() any {
-	last := len(c.tickets) - 1
-	t := c.tickets[last]
-	c.tickets[last] = nil
-	c.tickets = c.tickets[:last]
+	last := len(c.waiters) - 1
+	t := c.waiters[last]
+	c.waiters[last] = nil
+	c.waiters = c.waiters[:last]
 	t.index = -1
 	return t
 }
--- a/internal/policy/admit/queue_test.go
+++ b/internal/policy/admit/queue_test.go
@@ -13,7 +13,7 @@
 
 // order lets calls finish one by one and returns the customers in the order in
 // which their calls started.
-func order(q *Queue, now time.Duration, names map[*Ticket]string) []string {
+func order(q *Queue, now time.Duration, names map[*Waiter]string) []string {
 	var out []string
 	for len(names) > 0 {
 		before := len(names)
@@ -35,19 +35,19 @@
 	return out
 }
 
-func arrive(t *testing.T, q *Queue, names map[*Ticket]string, customer string, priority int) {
+func arrive(t *testing.T, q *Queue, names map[*Waiter]string, customer string, priority int) {
 	t.Helper()
 	now := time.Duration(len(names)) * time.Millisecond
-	ticket, v, _ := q.Arrive(now, customer, priority, time.Hour)
+	waiter, v, _ := q.Arrive(now, customer, priority, time.Hour)
 	if v == Wait {
-		names[ticket] = customer
+		names[waiter] = customer
 		return
 	}
 	assert.Equal(t, v, Run)
 }
 
 func TestBacklogOfOneCustomerDoesNotDelayAnother(t *testing.T) {
-	q, names := NewQueue(BoundsOf(1, 1000)), map[*Ticket]string{}
+	q, names := NewQueue(BoundsOf(1, 1000)), map[*Waiter]string{}
 	for range 20 {
 		arrive(t, q, names, "noisy", 1)
 	}
@@ -58,7 +58,7 @@
 }
 
 func TestLowerPriorityNumberGoesFirstAndTheOtherIsNotStarved(t *testing.T) {
-	q, names := NewQueue(BoundsOf(1, 1000)), map[*Ticket]string{}
+	q, names := NewQueue(BoundsOf(1, 1000)), map[*Waiter]string{}
 	for i := range 3 {
 		arrive(t, q, names, fmt.Sprintf("planner-%d", i), 9)
 	}
@@ -77,7 +77,7 @@
 
 func TestFullQueueDropsTheLongestBacklog(t *testing.T) {
 	q := NewQueue(BoundsOf(1, 1000))
-	var last *Ticket
+	var last *Waiter
 	for range 1 + minWaiting {
 		last, _, _ = q.Arrive(0, "noisy", 1, time.Hour)
 	}
@@ -108,9 +108,9 @@
 		q := NewQueue(BoundsOf(rapid.IntRange(1, 4).Draw(t, "limit"), 1000))
 		var now time.Duration
 		running := 0
-		var waiting []*Ticket
+		var waiting []*Waiter
 		settle := func() {
-			var still []*Ticket
+			var still []*Waiter
 			for _, w := range waiting {
 				select {
 				case ok := <-w.Decided():
@@ -125,12 +125,12 @@
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"arrive": func(t *rapid.T) {
-				ticket, v, _ := q.Arrive(now, rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "customer"), rapid.IntRange(1, 3).Draw(t, "priority"), now+time.Second)
+				waiter, v, _ := q.Arrive(now, rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "customer"), rapid.IntRange(1, 3).Draw(t, "priority"), now+time.Second)
 				switch v {
 				case Run:
 					running++
 				case Wait:
-					waiting = append(waiting, ticket)
+					waiting = append(waiting, waiter)
 				}
 			},
 			"done": func(t *rapid.T) {
@@ -144,7 +144,7 @@
 				if len(waiting) == 0 {
 					t.Skip("nothing waits")
 				}
-				i := rapid.IntRange(0, len(waiting)-1).Draw(t, "ticket")
+				i := rapid.IntRange(0, len(waiting)-1).Draw(t, "waiter")
 				assert.Assert(t, q.Cancel(waiting[i]))
 				waiting = append(waiting[:i:i], waiting[i+1:]...)
 			},
