--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 
 generate:
 	go -C tools build -o $(TOOLS)/ google.golang.org/protobuf/cmd/protoc-gen-go google.golang.org/grpc/cmd/protoc-gen-go-grpc
-	PATH=$(TOOLS):$$PATH protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative internal/peerwire/*.proto
+	PATH=$(TOOLS):$$PATH protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative internal/peerwire/*.proto internal/fleetwire/*.proto
 
 .PHONY: bench prove mutants
 
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -34,6 +34,7 @@
 	parser := flags.NewNamedParser("baobabstack", flags.HelpFlag|flags.PassDoubleDash)
 	io := streams{out: out, err: errOut}
 	add(parser, "entry", "Run an entry", "Runs an entry until SIGTERM or SIGINT, then stops it gracefully.", &entryCommand{streams: io})
+	add(parser, "gateway", "Run a gateway", "Runs a gateway on the platform until SIGTERM or SIGINT, then stops it gracefully. SIGHUP reads the settings again.", &gatewayCommand{streams: io})
 	add(parser, "check", "Check settings and lists", "Checks files without running anything. Exit status 2 and a line for each fault: file, line, key and remedy.", &checkCommand{streams: io})
 	add(parser, "status", "Show an entry's state", statusHelp, &statusCommand{streams: io})
 	add(parser, "explain", "Show why an entry decided what it did", explainHelp, &explainCommand{streams: io})
@@ -91,9 +92,11 @@
 	if err := c.faults(faults); err != nil {
 		return err
 	}
-	if err := logs.Setup(c.err, s.Log.Level); err != nil {
+	flush, err := logs.Setup(c.err, s.Log.Level)
+	if err != nil {
 		return err
 	}
+	defer flush()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	return supervisor.Run(ctx, s)
--- /dev/null
+++ b/internal/fleet/follow.go
@@ -0,0 +1,180 @@
+package fleet
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/baobabstack/baobabstack/internal/discovery"
+	"github.com/baobabstack/baobabstack/internal/fleetwire"
+	"github.com/baobabstack/baobabstack/internal/logs"
+)
+
+const (
+	// heartbeatEvery is the pause between two updates to a follower when nothing
+	// changes.
+	heartbeatEvery = 400 * time.Millisecond
+	// silentAfter is how long a follower waits for an update: two heartbeats and
+	// a pause of the sender's processor. With the time to turn to another source
+	// it stays well below the two seconds in which a leaving server must be known.
+	silentAfter = time.Second
+	// bufferBytes is the size of a link's buffers: a link carries a few small
+	// messages a second.
+	bufferBytes = 4 << 10
+)
+
+// Feed is what followers are told. Its methods are safe for concurrent use.
+type Feed interface {
+	// Subscribe returns all that is believed and a channel of changes, which is
+	// closed if its reader is too slow. Cancel ends the subscription.
+	Subscribe() (full discovery.Batch, changes <-chan discovery.Batch, cancel func())
+	// Age returns how long ago the store confirmed that there is nothing newer;
+	// ok is false if nothing is known.
+	Age() (age time.Duration, ok bool)
+}
+
+// Service offers what this gateway believes to others.
+type Service struct {
+	fleetwire.UnimplementedFleetServer
+	address string
+	members *Members
+	feed    Feed
+	log     logs.Logger
+}
+
+// NewService returns the service on an address.
+func NewService(address string, members *Members, feed Feed) *Service {
+	return &Service{address: address, members: members, feed: feed, log: logs.For("fleet")}
+}
+
+// Serve listens until the context ends.
+func (s *Service) Serve(ctx context.Context) error {
+	listener, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return errors.Wrapf(err, "listen for followers on %s", s.address)
+	}
+	server := grpc.NewServer(grpc.ReadBufferSize(bufferBytes), grpc.WriteBufferSize(bufferBytes), grpc.ConnectionTimeout(silentAfter))
+	fleetwire.RegisterFleetServer(server, s)
+	stop := context.AfterFunc(ctx, server.Stop)
+	defer stop()
+	if err := server.Serve(listener); err != nil && ctx.Err() == nil {
+		return errors.Wrap(err, "serve followers")
+	}
+	return ctx.Err()
+}
+
+// Follow implements fleetwire.FleetServer.
+func (s *Service) Follow(req *fleetwire.FollowRequest, stream fleetwire.Fleet_FollowServer) error {
+	s.members.Merge([]*fleetwire.Member{req.GetSelf()}, time.Now())
+	full, changes, cancel := s.feed.Subscribe()
+	defer cancel()
+	if err := s.sendUpdate(stream, full); err != nil {
+		return err
+	}
+	heartbeat := time.NewTicker(heartbeatEvery)
+	defer heartbeat.Stop()
+	for {
+		var err error
+		select {
+		case b, ok := <-changes:
+			if !ok {
+				return errors.New("the follower is too slow")
+			}
+			err = s.sendUpdate(stream, b)
+		case <-heartbeat.C:
+			err = s.sendUpdate(stream, discovery.Batch{})
+		case <-stream.Context().Done():
+			return stream.Context().Err()
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func (s *Service) sendUpdate(stream fleetwire.Fleet_FollowServer, b discovery.Batch) error {
+	age, known := s.feed.Age()
+	u := &fleetwire.Update{Full: b.Full && known, Revision: b.Revision, AgeMs: millis(age), Known: known}
+	for _, item := range b.Items {
+		u.Items = append(u.Items, &fleetwire.Item{Key: item.Key, Value: item.Value, Revision: item.Revision, Deleted: item.Deleted})
+	}
+	return stream.Send(u)
+}
+
+func millis(d time.Duration) uint32 { return uint32(min(d.Milliseconds(), 1<<31)) } //nolint:gosec // bounded
+
+// Peer follows one other gateway. It implements discovery.Source.
+type Peer struct {
+	members *Members
+	target  *fleetwire.Member
+}
+
+// Name returns the followed gateway's id.
+func (p Peer) Name() string { return p.target.Id }
+
+// Direct reports that news come from another gateway.
+func (p Peer) Direct() bool { return false }
+
+var errNothingKnown = errors.New("the gateway knows nothing yet")
+
+// Run delivers batches until the context ends or the gateway falls silent.
+func (p Peer) Run(ctx context.Context, _ uint64, deliver func(discovery.Batch)) error {
+	conn, err := grpc.NewClient("passthrough:///"+p.target.Address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithNoProxy(),
+		grpc.WithReadBufferSize(bufferBytes), grpc.WithWriteBufferSize(bufferBytes))
+	if err != nil {
+		return errors.Wrapf(err, "connect to %s", p.target.Address)
+	}
+	defer conn.Close()
+	limited, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silent := time.AfterFunc(silentAfter, cancel)
+	defer silent.Stop()
+	err = p.receive(limited, conn, silent, deliver)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	p.members.Suspect(p.target.Id, time.Now())
+	return errors.Wrapf(err, "follow %s", p.target.Id)
+}
+
+func (p Peer) receive(ctx context.Context, conn *grpc.ClientConn, silent *time.Timer, deliver func(discovery.Batch)) error {
+	stream, err := fleetwire.NewFleetClient(conn).Follow(ctx, &fleetwire.FollowRequest{Self: p.members.Self()})
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	for first := true; ; first = false {
+		u, err := stream.Recv()
+		if err != nil {
+			return errors.WithStack(err)
+		}
+		silent.Reset(silentAfter)
+		if !u.GetKnown() || (first && !u.GetFull()) {
+			return errors.WithStack(errNothingKnown)
+		}
+		deliver(batch(u))
+	}
+}
+
+func batch(u *fleetwire.Update) discovery.Batch {
+	b := discovery.Batch{Full: u.GetFull(), Revision: u.GetRevision(), Age: time.Duration(u.GetAgeMs()) * time.Millisecond}
+	for _, item := range u.GetItems() {
+		b.Items = append(b.Items, discovery.Item{Key: item.GetKey(), Value: item.GetValue(), Revision: item.GetRevision(), Deleted: item.GetDeleted()})
+	}
+	return b
+}
+
+// Sources returns the gateways to follow, best first, and whether this gateway
+// reads the store for its data centre.
+func Sources(m *Members, now time.Time) ([]discovery.Source, bool) {
+	ranked, reader := m.Sources(now)
+	sources := make([]discovery.Source, 0, len(ranked))
+	for _, target := range ranked {
+		sources = append(sources, Peer{members: m, target: target})
+	}
+	return sources, reader
+}
--- /dev/null
+++ b/internal/gateway/ask.go
@@ -0,0 +1,181 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/baobabstack/baobabstack/internal/placement"
+	"github.com/baobabstack/baobabstack/internal/upstream"
+)
+
+const (
+	// askNear and askFar are how many servers of the own and of other data centres
+	// are asked before a send.
+	askNear = 4
+	askFar  = 4
+	// askTimeout bounds a health check: a few ms to and from another data centre,
+	// and pauses of small VMs.
+	askTimeout = 60 * time.Millisecond
+	// settleAfter is how long slower answers are waited for once a good server
+	// has answered.
+	settleAfter = 2 * time.Millisecond
+	// probeShare of the fleet's probe budget is spent: the number of gateways is
+	// known only roughly.
+	probeShare = 0.8
+)
+
+// offer is a server that has just answered.
+type offer struct {
+	target    *target
+	lease     *upstream.Lease
+	candidate placement.Candidate
+	// answeredAt is when the server told the load.
+	answeredAt time.Time
+}
+
+func (o *offer) release() {
+	if o != nil {
+		o.lease.Release()
+	}
+}
+
+// sample returns up to n servers in random order, without those that rest or
+// have been tried.
+func sample(from []*target, n int, tried map[*upstream.Server]bool, now time.Time) []*target {
+	usable := make([]*target, 0, len(from))
+	for _, t := range from {
+		if !tried[t.server] && !t.health.rests(now) {
+			usable = append(usable, t)
+		}
+	}
+	rand.Shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
+	return usable[:min(n, len(usable))]
+}
+
+// find asks servers of the own data centre, and others if none of those is good,
+// and returns the best; nil if none answers.
+func (d *dispatcher) find(ctx context.Context, svc *service, demand placement.Demand, tried map[*upstream.Server]bool) *offer {
+	now := time.Now()
+	if !svc.state.mute.Load() {
+		best := d.ask(ctx, svc, sample(svc.near, askNear, tried, now), demand)
+		if best != nil && best.candidate.Good(demand) {
+			return best
+		}
+		far := d.ask(ctx, svc, sample(svc.far, askFar, tried, now), demand)
+		if best = better(best, far, demand); best != nil {
+			return best
+		}
+	}
+	return d.guess(ctx, svc, demand, tried, now)
+}
+
+// better returns the better of two offers and releases the other.
+func better(a, b *offer, demand placement.Demand) *offer {
+	switch {
+	case a == nil:
+		return b
+	case b == nil:
+		return a
+	case b.candidate.Cost(demand) < a.candidate.Cost(demand):
+		a.release()
+		return b
+	default:
+		b.release()
+		return a
+	}
+}
+
+// ask sends health checks side by side and returns the best server that answers.
+func (d *dispatcher) ask(ctx context.Context, svc *service, targets []*target, demand placement.Demand) *offer {
+	if len(targets) == 0 || !svc.state.asks.Take(len(targets), d.probeRate(svc), time.Now()) {
+		return nil
+	}
+	answers := make(chan *offer, len(targets))
+	for _, t := range targets {
+		go func() { answers <- d.check(ctx, svc, t) }()
+	}
+	var best *offer
+	var settled <-chan time.Time
+	for left := len(targets); left > 0; left-- {
+		select {
+		case o := <-answers:
+			best = better(best, o, demand)
+			if settled == nil && best != nil && best.candidate.Good(demand) && left > 1 {
+				timer := time.NewTimer(settleAfter)
+				defer timer.Stop()
+				settled = timer.C
+			}
+		case <-settled:
+			go discardLate(answers, left)
+			return best
+		}
+	}
+	return best
+}
+
+func discardLate(answers <-chan *offer, left int) {
+	for range left {
+		(<-answers).release()
+	}
+}
+
+// probeRate is this gateway's part of the health checks that a service's servers
+// may get a second.
+func (d *dispatcher) probeRate(svc *service) float64 {
+	all := d.options.Settings.Budgets.ProbesPerSecond * float64(len(svc.near)+len(svc.far))
+	return probeShare * all / float64(max(d.options.Members.Live(time.Now()), 1))
+}
+
+// check asks one server. It returns nil unless the server takes calls.
+func (d *dispatcher) check(ctx context.Context, svc *service, t *target) *offer {
+	h, lease, err := t.server.Probe(ctx, askTimeout)
+	now := time.Now()
+	if err != nil {
+		if ctx.Err() == nil {
+			t.health.unanswered(now)
+			d.metrics.silent.Inc()
+		}
+		return nil
+	}
+	if h.Other || lease == nil {
+		lease.Release()
+		t.health.unanswered(now)
+		return nil
+	}
+	t.health.asked(h.Load, h.Known)
+	if !h.Known && h.OK {
+		svc.state.mute.Store(true)
+	}
+	if !h.OK {
+		lease.Release()
+		return nil
+	}
+	return &offer{target: t, lease: lease, candidate: t.candidate(now), answeredAt: now}
+}
+
+// guess chooses by what is remembered, for services whose servers tell no load
+// and when no server answers in time.
+func (d *dispatcher) guess(ctx context.Context, svc *service, demand placement.Demand, tried map[*upstream.Server]bool, now time.Time) *offer {
+	targets := sample(svc.near, len(svc.near), tried, now)
+	if len(targets) == 0 {
+		targets = sample(svc.far, len(svc.far), tried, now)
+	}
+	candidates := make([]placement.Candidate, 0, len(targets))
+	for _, t := range targets {
+		c := t.candidate(now)
+		c.Running = max(c.Running, t.server.InFlight())
+		candidates = append(candidates, c)
+	}
+	for len(targets) > 0 {
+		i := placement.Best(candidates, demand)
+		lease, err := targets[i].server.Open(ctx, askTimeout)
+		if err == nil {
+			return &offer{target: targets[i], lease: lease, candidate: candidates[i], answeredAt: targets[i].health.loadAt()}
+		}
+		targets[i].health.unanswered(now)
+		targets, candidates = slices.Delete(targets, i, i+1), slices.Delete(candidates, i, i+1)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/gateway/dispatch.go
@@ -0,0 +1,159 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/baobabstack/baobabstack/internal/placement"
+	"github.com/baobabstack/baobabstack/internal/routing"
+	"github.com/baobabstack/baobabstack/internal/upstream"
+)
+
+// request is one request of a caller on its way.
+type request struct {
+	id       string
+	route    *routing.Route
+	service  *service
+	version  uint64
+	call     upstream.Call
+	received time.Time
+	deadline time.Time
+	trace    *trace
+}
+
+// answer is what the caller gets.
+type answer struct {
+	status     int
+	header     http.Header
+	body       []byte
+	retryAfter time.Duration
+	reason     string
+}
+
+// dispatcher sends requests to servers.
+type dispatcher struct {
+	options *Options
+	metrics *counters
+
+	mu    sync.Mutex
+	works map[string]*workEstimate // by route
+}
+
+// run answers a request.
+func (d *dispatcher) run(ctx context.Context, r *request) answer {
+	ctx, cancel := context.WithDeadline(ctx, r.deadline)
+	defer cancel()
+	r.service.state.budget.Call(r.received)
+	s := sending{request: r, tried: make(map[*upstream.Server]bool)}
+	for {
+		o, refused := d.place(ctx, &s)
+		if o == nil {
+			return s.giveUp(refused)
+		}
+		if s.sends > 0 && !r.service.state.budget.Take(d.slack(), time.Now()) {
+			o.release()
+			return s.giveUp("retry-budget")
+		}
+		result := d.send(ctx, &s, o)
+		if a, done := s.judge(ctx, result); done {
+			return a
+		}
+	}
+}
+
+// slack is this gateway's part of the retries that a window allows whatever the
+// requests.
+func (d *dispatcher) slack() float64 {
+	return slackShare * d.options.Settings.Budgets.RetrySlack / float64(max(d.options.Members.Live(time.Now()), d.options.minFleet()))
+}
+
+// slackShare of the slack is given out, since gateways count each other only
+// roughly.
+const slackShare = 0.5
+
+// sending is the state of one request's sends.
+type sending struct {
+	*request
+	tried map[*upstream.Server]bool
+	sends int
+	// ran says that a server may have run the request.
+	ran bool
+	// last is the latest answer of a server that failed the request.
+	last *upstream.Result
+}
+
+// judge says what follows from the end of a send: the caller's answer, or
+// another send.
+func (s *sending) judge(ctx context.Context, r upstream.Result) (answer, bool) {
+	again := s.sends < s.route.Attempts && ctx.Err() == nil
+	switch {
+	case r.Certainty == upstream.Answered && r.Status < http.StatusInternalServerError:
+		return s.deliver(&r), true
+	case r.Certainty == upstream.Answered:
+		s.ran, s.last = true, &r
+		again = again && s.route.Idempotent
+	case r.Certainty == upstream.Unknown:
+		s.ran = true
+		again = again && s.route.Idempotent
+	}
+	if again {
+		return answer{}, false
+	}
+	return s.giveUp("attempts"), true
+}
+
+func (s *sending) deliver(r *upstream.Result) answer {
+	return answer{status: r.Status, header: r.Header, body: r.Body, reason: "server"}
+}
+
+// giveUp answers a request for which no server is left. An answer that a server
+// made comes first; a request that may have run is never said not to have.
+func (s *sending) giveUp(reason string) answer {
+	switch {
+	case s.last != nil:
+		return s.deliver(s.last)
+	case s.ran && !time.Now().Before(s.deadline):
+		return answer{status: http.StatusGatewayTimeout, reason: "timeout"}
+	case s.ran:
+		return answer{status: http.StatusBadGateway, reason: reason}
+	default:
+		return answer{status: http.StatusServiceUnavailable, reason: reason, retryAfter: placement.RetryAfter(time.Until(s.deadline))}
+	}
+}
+
+// send sends a request to one server and waits for its end; a request that may
+// run more than once is sent to a second server if the first turns slow.
+func (d *dispatcher) send(ctx context.Context, s *sending, o *offer) upstream.Result {
+	now := time.Now()
+	s.sends++
+	s.tried[o.target.server] = true
+	s.trace.sent(o, now)
+	o.target.health.sent(now)
+	d.metrics.sends.Inc()
+	call := s.call
+	call.Deadline = s.deadline
+	result := o.lease.Send(ctx, &call)
+	d.learn(ctx, s, o, &result, time.Since(now))
+	s.trace.ended(len(s.trace.sends)-1, result)
+	return result
+}
+
+// learn keeps what the end of a send says of its server.
+func (d *dispatcher) learn(ctx context.Context, s *sending, o *offer, r *upstream.Result, took time.Duration) {
+	now := time.Now()
+	h := o.target.health
+	h.answered(r.Load, r.Known)
+	switch {
+	case r.Other:
+		h.unanswered(now)
+	case r.Certainty == upstream.Answered && r.Status < http.StatusInternalServerError:
+		h.called(false, took, now)
+		if o.candidate.Free() {
+			d.work(s.route).add(took, o.candidate.Slowness)
+		}
+	case ctx.Err() == nil || r.Certainty == upstream.Answered:
+		h.called(true, took, now)
+	}
+}
--- /dev/null
+++ b/internal/gateway/handler.go
@@ -0,0 +1,171 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/baobabstack/baobabstack/internal/logs"
+	"github.com/baobabstack/baobabstack/internal/routing"
+	"github.com/baobabstack/baobabstack/internal/upstream"
+)
+
+// handler answers callers.
+type handler struct {
+	options    *Options
+	dispatcher *dispatcher
+	current    atomic.Pointer[snapshot]
+	log        logs.Logger
+	metrics    *counters
+	draw       atomic.Uint64
+	// lastRequest is the Unix time in nanoseconds of the latest request.
+	lastRequest atomic.Int64
+}
+
+const (
+	// unknownRetryAfter is when callers come back to an entry that knows no
+	// configuration: the time of a call to the store.
+	unknownRetryAfter = 100 * time.Millisecond
+	// defaultDeadline stands in for a route's timeout when none is set.
+	defaultDeadline = 30 * time.Second
+)
+
+// ServeHTTP implements http.Handler.
+func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	received := time.Now()
+	h.lastRequest.Store(received.UnixNano())
+	d := h.options.Dialect
+	id := r.Header.Get(d.CallID)
+	s := h.current.Load()
+	if s == nil {
+		a := answer{status: http.StatusServiceUnavailable, reason: "no-configuration", retryAfter: unknownRetryAfter}
+		h.log.With("id", id).With("status", a.status).With("reason", a.reason).Infof("request refused")
+		h.write(w, id, a)
+		return
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	route, ok := s.table.Match(r.Host, path)
+	if !ok {
+		a := answer{status: http.StatusNotFound, reason: "no-route"}
+		h.log.With("id", id).With("host", r.Host).With("path", path).With("version", s.table.Version).With("status", a.status).Infof("request without a route")
+		h.write(w, id, a)
+		return
+	}
+	req, a := h.newRequest(r, s, route, id, received)
+	if req != nil {
+		a = h.dispatcher.run(r.Context(), req)
+		h.note(r.Context(), req, &a)
+	}
+	h.write(w, id, a)
+}
+
+func (h *handler) newRequest(r *http.Request, s *snapshot, route *routing.Route, id string, received time.Time) (*request, answer) {
+	timeout := route.Timeout
+	if text := r.Header.Get(h.options.Dialect.Deadline); text != "" {
+		ms, err := strconv.ParseInt(text, 10, 32)
+		if err != nil || ms < 0 {
+			return nil, answer{status: http.StatusBadRequest, reason: "bad-deadline"}
+		}
+		timeout = min(timeout, time.Duration(ms)*time.Millisecond)
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		h.log.With("id", id).Warnf("the request's body can't be read: %v", err)
+		return nil, answer{status: http.StatusBadRequest, reason: "bad-body"}
+	}
+	return &request{
+		id: id, route: route, service: s.services[route.Pick(h.point())], version: s.table.Version,
+		call: upstream.Call{
+			ID: id, Method: r.Method, Target: r.RequestURI, Head: head(r, h.options.Dialect), Body: body,
+		},
+		received: received, deadline: received.Add(timeout), trace: &trace{},
+	}, answer{}
+}
+
+// goldenRatio spreads the points of a sequence evenly, so that the shares of a
+// split hold over few requests.
+const goldenRatio = 0.6180339887498949
+
+// point returns the next point of an even sequence in [0, 1).
+func (h *handler) point() float64 {
+	x := float64(h.draw.Add(1)) * goldenRatio
+	return x - float64(int64(x))
+}
+
+// hopHeaders concern one connection only (RFC 9110, section 7.6.1).
+var hopHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
+	"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, "Expect": true,
+}
+
+// head returns the header lines to send on.
+func head(r *http.Request, d *upstream.Dialect) []byte {
+	const typicalHead = 256
+	out := make([]byte, 0, typicalHead)
+	out = append(out, "Host: "+r.Host+"\r\n"...)
+	dropped := named(r.Header)
+	for name, values := range r.Header {
+		if hopHeaders[name] || dropped[name] || name == "Host" || name == d.Deadline || name == d.ExpectServer {
+			continue
+		}
+		for _, v := range values {
+			out = append(out, name+": "+v+"\r\n"...)
+		}
+	}
+	return out
+}
+
+// named returns the headers that a Connection header names.
+func named(h http.Header) map[string]bool {
+	var out map[string]bool
+	for _, line := range h["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			if out == nil {
+				out = make(map[string]bool)
+			}
+			out[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	return out
+}
+
+func (h *handler) note(ctx context.Context, r *request, a *answer) {
+	now := time.Now()
+	if ctx.Err() != nil {
+		a.reason = "caller-left"
+	}
+	h.metrics.answered(a.status, now.Sub(r.received))
+	logRequest(h.log, r, a, now)
+}
+
+// write sends an answer. A server's header is sent without what concerned its
+// connection.
+func (h *handler) write(w http.ResponseWriter, id string, a answer) {
+	header := w.Header()
+	dropped := named(a.header)
+	for name, values := range a.header {
+		if !hopHeaders[name] && !dropped[name] {
+			header[name] = values
+		}
+	}
+	if a.header == nil && id != "" {
+		header.Set(h.options.Dialect.CallID, id)
+	}
+	if a.retryAfter > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(a.retryAfter.Seconds(), 'f', 3, 64))
+	}
+	w.WriteHeader(a.status)
+	_, _ = w.Write(a.body) // kept in memory by the listener; it can't fail
+}
+
+func newHandler(o *Options, m *counters) *handler {
+	h := &handler{options: o, log: logs.For("gateway"), metrics: m}
+	h.draw.Store(rand.Uint64N(1 << 20))
+	h.dispatcher = &dispatcher{options: o, metrics: m, works: make(map[string]*workEstimate)}
+	return h
+}
--- a/internal/httpserver/answer.go
+++ b/internal/httpserver/answer.go
@@ -54,23 +54,57 @@
 	return out.Bytes()
 }
 
-// serve runs the handler of a parsed request. It takes the connection from the
-// library, because that would close it with an answer unsent, and would send a
-// body in answer to HEAD.
+// serve starts the handler of a parsed request in a goroutine of its own, so that
+// pipelined requests run side by side; their answers are sent in order. It takes
+// the connection from the library, because that would close it with an answer
+// unsent, and would send a body in answer to HEAD.
 func serve(w http.ResponseWriter, r *http.Request) {
 	c := w.(*nbhttp.Response).Parser.Conn.(*conn)
 	_, _, _ = w.(http.Hijacker).Hijack()
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		log.Warnf("%s: the body of a request can't be read: %v", c.server.options.Name, err)
+		_ = c.nbc.Close()
+		return
+	}
+	own := r.WithContext(c.ctx) // the library uses r again
+	own.Body = io.NopCloser(bytes.NewReader(body))
+	go c.respond(own, c.takeTurn())
+}
+
+// respond runs the handler and sends its answer when its turn has come.
+func (c *conn) respond(r *http.Request, t turn) {
+	defer t.end()
+	a := &answer{header: make(http.Header)}
+	c.run(a, r)
+	t.wait()
 	req, ok := c.next()
 	if !ok {
 		return
 	}
 	defer c.answered()
-	a := &answer{header: make(http.Header)}
-	c.run(a, r)
 	last := req.close || (c.server.draining.Load() && c.only())
 	c.send(a.bytes(r.Method, last), last)
 }
 
+// turn is a place in the order of a connection's answers.
+type turn struct {
+	before <-chan struct{} // closed when the answer before is sent
+	done   chan struct{}
+}
+
+func (t turn) wait() { <-t.before }
+func (t turn) end()  { t.wait(); close(t.done) }
+
+// takeTurn returns the next place in the order.
+func (c *conn) takeTurn() turn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := turn{before: c.tail, done: make(chan struct{})}
+	c.tail = t.done
+	return t
+}
+
 var log = logs.For("httpserver")
 
 // run calls the handler. A panic is answered with the outcome unknown.
@@ -81,7 +115,7 @@
 			*a = *refused(call.Refusal(outcome.Unknown, http.StatusInternalServerError, "internal", 0))
 		}
 	}()
-	c.server.options.Handler.ServeHTTP(a, r.WithContext(c.ctx))
+	c.server.options.Handler.ServeHTTP(a, r)
 }
 
 func refused(from call.Answer) *answer {
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -31,6 +31,7 @@
 	guard   guard
 	pending []request // parsed and not answered, oldest first
 	timer   *time.Timer
+	tail    <-chan struct{} // closed when the last answer so far is sent
 }
 
 // request is what the guard knows of a request until it is answered.
@@ -47,6 +48,9 @@
 		c.Conn = c.tls
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
+	first := make(chan struct{})
+	close(first)
+	c.tail = first
 	c.guard.parser = nbhttp.NewParser(c, s.engine, nbhttp.NewServerProcessor(), false, nbc.Execute)
 	return c
 }
--- a/internal/httpserver/guard.go
+++ b/internal/httpserver/guard.go
@@ -107,13 +107,15 @@
 		c.guard.part = inChunks
 	}
 	if f.expectContinue && !more {
-		c.nbc.Execute(c.sayContinue)
+		c.nbc.Execute(func() { go c.sayContinue(c.takeTurn()) })
 	}
 }
 
 var continueLine = []byte("HTTP/1.1 100 Continue\r\n\r\n")
 
-func (c *conn) sayContinue() {
+func (c *conn) sayContinue(t turn) {
+	defer t.end()
+	t.wait()
 	if !c.wire.last.Load() {
 		_, _ = c.Write(continueLine)
 	}
@@ -172,6 +174,9 @@
 	c.server.counters.refused(r.reason)
 	c.push(request{close: true})
 	c.nbc.Execute(func() {
+		t := c.takeTurn()
+		defer t.end()
+		t.wait()
 		if _, ok := c.next(); ok {
 			c.send(refusalBytes(r, claim), true)
 			c.answered()
--- /dev/null
+++ b/internal/placement/budget.go
@@ -0,0 +1,98 @@
+package placement
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// windowSlots is the number of steps in which a window slides.
+	windowSlots = 20
+	// ratioShare is the share of the allowed ratio that is spent: entries see
+	// windows that are a step apart.
+	ratioShare = 0.9
+)
+
+// RetryBudget bounds the sends beyond the first of each call in a sliding window,
+// for one service and one entry. It is safe for concurrent use.
+type RetryBudget struct {
+	mu     sync.Mutex
+	ratio  float64
+	step   time.Duration
+	calls  [windowSlots]int
+	extra  [windowSlots]int
+	at     int
+	latest time.Time
+}
+
+// NewRetryBudget returns a budget of ratio extra sends a call in any window.
+func NewRetryBudget(ratio float64, window time.Duration) *RetryBudget {
+	return &RetryBudget{ratio: ratio * ratioShare, step: window / (windowSlots - 1)}
+}
+
+// Call counts a call.
+func (b *RetryBudget) Call(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.slide(now)
+	b.calls[b.at]++
+}
+
+// Take counts an extra send if the budget allows one. Slack is this entry's part
+// of the extra sends that a window allows whatever the calls.
+func (b *RetryBudget) Take(slack float64, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.slide(now)
+	calls, extra := 0, 0
+	for i := range b.calls {
+		calls += b.calls[i]
+		extra += b.extra[i]
+	}
+	if float64(extra+1) > b.ratio*float64(calls)+slack {
+		return false
+	}
+	b.extra[b.at]++
+	return true
+}
+
+func (b *RetryBudget) slide(now time.Time) {
+	if b.latest.IsZero() {
+		b.latest = now
+	}
+	for range min(int(now.Sub(b.latest)/b.step), windowSlots) {
+		b.at = (b.at + 1) % windowSlots
+		b.calls[b.at], b.extra[b.at] = 0, 0
+		b.latest = b.latest.Add(b.step)
+	}
+	if now.Sub(b.latest) > b.step {
+		b.latest = now
+	}
+}
+
+// Rate is a token bucket for asking servers. It is safe for concurrent use.
+type Rate struct {
+	mu     sync.Mutex
+	tokens float64
+	latest time.Time
+}
+
+// rateBurst is how many seconds of the rate may be saved up.
+const rateBurst = 2.0
+
+// Take takes n tokens of a bucket that fills at a rate a second, if it has them.
+func (r *Rate) Take(n int, perSecond float64, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.latest.IsZero() {
+		r.tokens = perSecond * rateBurst
+	} else {
+		r.tokens = min(r.tokens+now.Sub(r.latest).Seconds()*perSecond, perSecond*rateBurst)
+	}
+	r.latest = now
+	if r.tokens < float64(n) {
+		return false
+	}
+	r.tokens -= float64(n)
+	return true
+}
--- /dev/null
+++ b/internal/placement/estimate.go
@@ -0,0 +1,114 @@
+// Package placement decides where calls go, when they wait, when they are sent
+// once more and when they are refused. It has no network and no clock: what is
+// observed, the time and random numbers are arguments.
+//
+// # What operators see
+//
+// A call goes to the server that is expected to answer first, by the load that a
+// few servers have told a moment before. A call that finds all of them full waits
+// in the entry, and is refused at once when its answer can't be in time.
+package placement
+
+import "time"
+
+// Candidate is a server as it was a moment ago.
+type Candidate struct {
+	// Running and Waiting count all calls at the server; Slots of them run.
+	Running, Waiting, Slots int
+	// Slowness is how many times longer than usual work takes.
+	Slowness float64
+	// Extra counts this entry's calls that the load does not show yet.
+	Extra int
+	// Failing is the share of recent calls that the server failed, 0 to 1.
+	Failing float64
+	// Far says that the server is in another data centre.
+	Far bool
+}
+
+const (
+	// crowdedShare is the share of slots from which servers slow down, as those
+	// that share a processor do.
+	crowdedShare = 0.8
+	// crowdedFactor is how much longer work takes there.
+	crowdedFactor = 1.35
+	// farShare of a call's objective is what leaving the data centre may cost: a
+	// kilobyte costs a few hundredths of a call's worth.
+	farShare = 0.1
+	// failedShare of the objective is lost with each failure, for a second try.
+	failedShare = 1.0
+	// maxFailing keeps a server that failed all its calls comparable.
+	maxFailing = 0.95
+)
+
+// Demand is what a call needs.
+type Demand struct {
+	// Work is how long the call usually runs.
+	Work time.Duration
+	// Objective is the time in which an answer is worth most, Left the time in
+	// which it is worth anything, both from now on.
+	Objective, Left time.Duration
+}
+
+// Free reports whether a call would start at once.
+func (c Candidate) Free() bool { return c.ahead() < c.Slots && c.Waiting == 0 }
+
+func (c Candidate) ahead() int { return c.Running + c.Waiting + c.Extra }
+
+// Finish returns the time until an answer is expected.
+func (c Candidate) Finish(work time.Duration) time.Duration {
+	slots := max(c.Slots, 1)
+	run := float64(work) * max(c.Slowness, minSlowness)
+	if float64(c.ahead()+1) > crowdedShare*float64(slots) {
+		run *= crowdedFactor
+	}
+	queue := max(c.ahead()+1-slots, 0)
+	return time.Duration(run * (1 + float64(queue)/float64(slots)))
+}
+
+// minSlowness bounds what a server may claim of itself.
+const minSlowness = 0.3
+
+// Cost is Finish with what else counts against a server, as time.
+func (c Candidate) Cost(d Demand) time.Duration {
+	cost := float64(c.Finish(d.Work))
+	f := min(c.Failing, maxFailing)
+	cost += f / (1 - f) * failedShare * float64(d.Objective)
+	if c.Far {
+		cost += farShare * float64(d.Objective)
+	}
+	return time.Duration(cost)
+}
+
+// Best returns the index of the candidate with the least cost, or -1 without
+// candidates. Equal costs go to the first.
+func Best(candidates []Candidate, d Demand) int {
+	best, least := -1, time.Duration(0)
+	for i, c := range candidates {
+		if cost := c.Cost(d); best < 0 || cost < least {
+			best, least = i, cost
+		}
+	}
+	return best
+}
+
+const (
+	// goodFactor is how much longer than usual a call may take at a server that
+	// needs no comparison with others.
+	goodFactor = 1.6
+	// fitShare is the share of the objective that the expected time may use,
+	// since half of the calls take longer than expected.
+	fitShare = 0.75
+)
+
+// Good reports whether the server need not be compared with more of them.
+func (c Candidate) Good(d Demand) bool {
+	return c.Free() && c.Failing < 0.2 && c.Finish(d.Work) <= time.Duration(goodFactor*float64(d.Work))
+}
+
+// Fits reports whether an answer is expected well within the objective.
+func (c Candidate) Fits(d Demand) bool {
+	return float64(c.Finish(d.Work)) <= fitShare*float64(d.Objective)
+}
+
+// InTime reports whether an answer is expected before the caller stops waiting.
+func (c Candidate) InTime(d Demand) bool { return c.Finish(d.Work) < d.Left }
--- /dev/null
+++ b/internal/settings/gateway.go
@@ -0,0 +1,134 @@
+package settings
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"github.com/baobabstack/baobabstack/internal/fault"
+	"github.com/baobabstack/baobabstack/internal/lists"
+)
+
+// Gateway is the static configuration of a gateway.
+type Gateway struct {
+	// Entry identifies the entry VM.
+	Entry Entry `toml:"entry"`
+	// Listen holds the addresses to listen on.
+	Listen Listen `toml:"listen"`
+	// Fleet says how to find the other gateways.
+	Fleet Fleet `toml:"fleet"`
+	// Store says where the platform's store is.
+	Store Store `toml:"store"`
+	// VM describes the entry VM.
+	VM VM `toml:"vm"`
+	// Budgets bound what all gateways together may spend.
+	Budgets Budgets `toml:"budgets"`
+	// Stop configures the graceful stop.
+	Stop Stop `toml:"stop"`
+	// Log configures the log.
+	Log Log `toml:"log"`
+}
+
+// Listen holds addresses, each an IP address and port.
+type Listen struct {
+	// Callers is for callers.
+	Callers string `toml:"callers"`
+	// Ready answers readiness checks at ReadyPath.
+	Ready     string `toml:"ready"`
+	ReadyPath string `toml:"ready_path"`
+	// Fleet is for other gateways, over TCP.
+	Fleet string `toml:"fleet"`
+	// Gossip is for other gateways, over UDP.
+	Gossip string `toml:"gossip"`
+	// Metrics serves metrics at MetricsPath.
+	Metrics     string `toml:"metrics"`
+	MetricsPath string `toml:"metrics_path"`
+}
+
+// Fleet says how to find the other gateways.
+type Fleet struct {
+	// Seeds are fleet addresses of some gateways. They may be stale.
+	Seeds []string `toml:"seeds"`
+}
+
+// Store says where the platform's store is.
+type Store struct {
+	// Address is its IP address and port.
+	Address string `toml:"address"`
+}
+
+// VM describes the entry VM.
+type VM struct {
+	// MemoryMB is the memory in MB that the process may use.
+	MemoryMB int `toml:"memory_mb"`
+}
+
+// Budgets bound what all gateways together may spend.
+type Budgets struct {
+	// RetryRatio is the number of extra sends that a call allows, per service.
+	RetryRatio float64 `toml:"retry_ratio"`
+	// RetrySlack is the number of extra sends allowed in a window beside that.
+	RetrySlack float64 `toml:"retry_slack"`
+	// RetryWindow is the window in which both hold.
+	RetryWindow Duration `toml:"retry_window"`
+	// ProbesPerSecond bounds the health checks that one server gets.
+	ProbesPerSecond float64 `toml:"probes_per_second"`
+}
+
+// LoadGateway reads and checks a gateway's settings file. All faults found are
+// returned; each names file, line, key and remedy.
+func LoadGateway(file string) (*Gateway, []error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, []error{fault.Wrap(err, fault.Settings, file, "cannot be read", "give the path of a settings file")}
+	}
+	return ParseGateway(file, data)
+}
+
+// ParseGateway checks the text of a gateway's settings file. The file name is
+// used in faults only.
+func ParseGateway(file string, data []byte) (*Gateway, []error) {
+	s := &Gateway{Log: Log{Level: "info"}, Stop: Stop{LameDuck: Duration{defaultLameDuck}, Drain: Duration{defaultDrain}}}
+	if err := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields().Decode(s); err != nil {
+		return nil, lists.TOMLFaults(fault.Settings, file, err)
+	}
+	c := checker{place: lists.NewPlace(fault.Settings, file, data)}
+	c.checkGateway(s)
+	if len(c.faults) > 0 {
+		return nil, c.faults
+	}
+	return s, nil
+}
+
+func (c *checker) checkGateway(s *Gateway) {
+	c.notEmpty("entry.id", s.Entry.ID, "give the VM's id")
+	c.notEmpty("entry.data_centre", s.Entry.DataCentre, "name the VM's data centre")
+	c.address("listen.callers", s.Listen.Callers)
+	c.address("listen.ready", s.Listen.Ready)
+	c.address("listen.fleet", s.Listen.Fleet)
+	c.address("listen.gossip", s.Listen.Gossip)
+	c.address("listen.metrics", s.Listen.Metrics)
+	c.address("store.address", s.Store.Address)
+	for i, seed := range s.Fleet.Seeds {
+		c.address(fmt.Sprintf("fleet.seeds[%d]", i), seed)
+	}
+	c.positive("vm.memory_mb", s.VM.MemoryMB)
+	c.duration("budgets.retry_window", s.Budgets.RetryWindow)
+	c.duration("stop.lame_duck", s.Stop.LameDuck)
+	c.duration("stop.drain", s.Stop.Drain)
+	if s.Budgets.RetryRatio < 0 || s.Budgets.RetrySlack < 0 || s.Budgets.ProbesPerSecond < 0 {
+		c.add("budgets", "has a negative number", "use 0 or more")
+	}
+	c.level(s.Log.Level)
+}
+
+// level checks the log's level.
+func (c *checker) level(level string) {
+	switch level {
+	case "debug", "info", "warn", "error":
+	default:
+		c.add("log.level", fmt.Sprintf("is %q", level), "use debug, info, warn or error")
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -212,11 +212,7 @@
 	}
 	c.tls("callers.tls", s.Callers.TLS, false)
 	c.tls("peers.tls", s.Peers.TLS, true)
-	switch s.Log.Level {
-	case "debug", "info", "warn", "error":
-	default:
-		c.add("log.level", fmt.Sprintf("is %q", s.Log.Level), "use debug, info, warn or error")
-	}
+	c.level(s.Log.Level)
 }
 
 func (c *checker) notEmpty(key, value, remedy string) {
