Ask fewer servers at a time, hand freed servers on, close idle connections at a stop

A stopping gateway cut requests that callers sent on kept connections late in its grace (LOST).

Change: servers are asked two at a time, the most promising first, and no more once one is good; a server at which a call has just ended goes to the first request that waits; guesses use a connection that carried an answer lately. After the lame duck a gateway closes callers' idle connections.

Ruled out: server-side closes (keep=false was our own unused dials).

--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -11,10 +12,11 @@
 )
 
 const (
-	// askNear and askFar are how many servers of the own and of other data centres
-	// are asked before a send.
-	askNear = 4
-	askFar  = 4
+	// askAtOnce is how many servers are asked side by side; more are asked only if
+	// none of these is good, because health checks are budgeted.
+	askAtOnce = 2
+	// askMost is how many servers are asked for one send.
+	askMost = 8
 	// askTimeout bounds a health check: a few ms to and from another data centre,
 	// and pauses of small VMs.
 	askTimeout = 60 * time.Millisecond
@@ -23,7 +25,10 @@
 	settleAfter = 2 * time.Millisecond
 	// probeShare of the fleet's probe budget is spent: the number of gateways is
 	// known only roughly.
-	probeShare = 0.8
+	probeShare = 0.9
+	// recentAnswer is how recently an idle connection must have carried an answer
+	// to be used without asking first.
+	recentAnswer = 500 * time.Millisecond
 )
 
 // offer is a server that has just answered.
@@ -41,32 +46,50 @@
 	}
 }
 
-// sample returns up to n servers in random order, without those that rest or
-// have been tried.
-func sample(from []*target, n int, tried map[*upstream.Server]bool, now time.Time) []*target {
-	usable := make([]*target, 0, len(from))
+// usable returns the servers to ask, most promising first, without those that
+// rest or have been tried.
+func usable(from []*target, tried map[*upstream.Server]bool, demand placement.Demand, now time.Time) []*target {
+	type ranked struct {
+		t    *target
+		rank placement.Promise
+	}
+	list := make([]ranked, 0, len(from))
 	for _, t := range from {
 		if !tried[t.server] && !t.health.rests(now) {
-			usable = append(usable, t)
+			list = append(list, ranked{t, placement.Promising(t.candidate(now), now.Sub(t.health.loadAt()), demand)})
 		}
 	}
-	rand.Shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
-	return usable[:min(n, len(usable))]
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	slices.SortStableFunc(list, func(a, b ranked) int { return cmp.Compare(a.rank, b.rank) })
+	out := make([]*target, 0, len(list))
+	for _, r := range list {
+		out = append(out, r.t)
+	}
+	return out
 }
 
 // find asks servers of the own data centre, and others if none of those is good,
 // and returns the best; nil if none answers.
 func (d *dispatcher) find(ctx context.Context, svc *service, demand placement.Demand, tried map[*upstream.Server]bool) *offer {
 	now := time.Now()
-	if !svc.state.mute.Load() {
-		best := d.ask(ctx, svc, sample(svc.near, askNear, tried, now), demand)
-		if best != nil && best.candidate.Good(demand) {
-			return best
-		}
-		far := d.ask(ctx, svc, sample(svc.far, askFar, tried, now), demand)
-		if best = better(best, far, demand); best != nil {
-			return best
+	if svc.state.mute.Load() {
+		return d.guess(ctx, svc, demand, tried, now)
+	}
+	order := usable(svc.near, tried, demand, now)
+	order = append(order, usable(svc.far, tried, demand, now)...)
+	order = order[:min(len(order), askMost)]
+	var best *offer
+	for len(order) > 0 && (best == nil || !best.candidate.Good(demand)) {
+		n := min(askAtOnce, len(order))
+		found, allowed := d.ask(ctx, svc, order[:n], demand)
+		if !allowed {
+			break
 		}
+		best = better(best, found, demand)
+		order = order[n:]
+	}
+	if best != nil {
+		return best
 	}
 	return d.guess(ctx, svc, demand, tried, now)
 }
@@ -88,15 +111,16 @@
 }
 
 // ask sends health checks side by side and returns the best server that answers.
-func (d *dispatcher) ask(ctx context.Context, svc *service, targets []*target, demand placement.Demand) *offer {
-	if len(targets) == 0 || !svc.state.asks.Take(len(targets), d.probeRate(svc), time.Now()) {
-		return nil
+// Allowed is false if the budget of health checks is used up.
+func (d *dispatcher) ask(ctx context.Context, svc *service, targets []*target, demand placement.Demand) (best *offer, allowed bool) {
+	if !svc.state.asks.Take(len(targets), d.probeRate(svc), time.Now()) {
+		d.metrics.unasked.Inc()
+		return nil, false
 	}
 	answers := make(chan *offer, len(targets))
 	for _, t := range targets {
 		go func() { answers <- d.check(ctx, svc, t) }()
 	}
-	var best *offer
 	var settled <-chan time.Time
 	for left := len(targets); left > 0; left-- {
 		select {
@@ -109,10 +133,10 @@
 			}
 		case <-settled:
 			go discardLate(answers, left)
-			return best
+			return best, true
 		}
 	}
-	return best
+	return best, true
 }
 
 func discardLate(answers <-chan *offer, left int) {
@@ -158,9 +182,9 @@
 // guess chooses by what is remembered, for services whose servers tell no load
 // and when no server answers in time.
 func (d *dispatcher) guess(ctx context.Context, svc *service, demand placement.Demand, tried map[*upstream.Server]bool, now time.Time) *offer {
-	targets := sample(svc.near, len(svc.near), tried, now)
+	targets := usable(svc.near, tried, demand, now)
 	if len(targets) == 0 {
-		targets = sample(svc.far, len(svc.far), tried, now)
+		targets = usable(svc.far, tried, demand, now)
 	}
 	candidates := make([]placement.Candidate, 0, len(targets))
 	for _, t := range targets {
@@ -170,7 +194,7 @@
 	}
 	for len(targets) > 0 {
 		i := placement.Best(candidates, demand)
-		lease, err := targets[i].server.Open(ctx, askTimeout)
+		lease, err := targets[i].server.Open(ctx, askTimeout, recentAnswer)
 		if err == nil {
 			return &offer{target: targets[i], lease: lease, candidate: candidates[i], answeredAt: targets[i].health.loadAt()}
 		}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -38,7 +38,7 @@
 	metrics *counters
 
 	mu    sync.Mutex
-	works map[string]*workEstimate // by route
+	works map[string]*placement.Work // by route
 }
 
 // run answers a request.
@@ -136,10 +136,26 @@
 	call.Deadline = s.deadline
 	result := o.lease.Send(ctx, &call)
 	d.learn(ctx, s, o, &result, time.Since(now))
+	d.passOn(s.service, o, &result)
 	s.trace.ended(len(s.trace.sends)-1, result)
 	return result
 }
 
+// passOn gives a server at which a call has just ended to a request that waits, if
+// it has a free slot and is not slow.
+func (d *dispatcher) passOn(svc *service, o *offer, r *upstream.Result) {
+	now := time.Now()
+	next := &offer{target: o.target, lease: o.lease, candidate: o.target.candidate(now), answeredAt: now}
+	if r.Known && o.lease.Usable() && next.candidate.Free() && next.candidate.Slowness < passOnSlowness {
+		svc.state.hand(next)
+		return
+	}
+	o.lease.Release()
+}
+
+// passOnSlowness is the slowness from which a server is not worth waiting for.
+const passOnSlowness = 2.0
+
 // learn keeps what the end of a send says of its server.
 func (d *dispatcher) learn(ctx context.Context, s *sending, o *offer, r *upstream.Result, took time.Duration) {
 	now := time.Now()
@@ -151,7 +167,7 @@
 	case r.Certainty == upstream.Answered && r.Status < http.StatusInternalServerError:
 		h.called(false, took, now)
 		if o.candidate.Free() {
-			d.work(s.route).add(took, o.candidate.Slowness)
+			d.work(s.route).Add(took, o.candidate)
 		}
 	case ctx.Err() == nil || r.Certainty == upstream.Answered:
 		h.called(true, took, now)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/baobabstack/baobabstack/internal/logs"
+	"github.com/baobabstack/baobabstack/internal/placement"
 	"github.com/baobabstack/baobabstack/internal/routing"
 	"github.com/baobabstack/baobabstack/internal/upstream"
 )
@@ -23,8 +24,6 @@
 	log        logs.Logger
 	metrics    *counters
 	draw       atomic.Uint64
-	// lastRequest is the Unix time in nanoseconds of the latest request.
-	lastRequest atomic.Int64
 }
 
 const (
@@ -38,7 +37,6 @@
 // ServeHTTP implements http.Handler.
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	received := time.Now()
-	h.lastRequest.Store(received.UnixNano())
 	d := h.options.Dialect
 	id := r.Header.Get(d.CallID)
 	s := h.current.Load()
@@ -166,6 +164,6 @@
 func newHandler(o *Options, m *counters) *handler {
 	h := &handler{options: o, log: logs.For("gateway"), metrics: m}
 	h.draw.Store(rand.Uint64N(1 << 20))
-	h.dispatcher = &dispatcher{options: o, metrics: m, works: make(map[string]*workEstimate)}
+	h.dispatcher = &dispatcher{options: o, metrics: m, works: make(map[string]*placement.Work)}
 	return h
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -13,18 +13,20 @@
 
 // counters are the gateway's own metrics.
 type counters struct {
-	sends  *metrics.Counter
-	hedges *metrics.Counter
-	silent *metrics.Counter
-	took   *metrics.Histogram
+	sends   *metrics.Counter
+	hedges  *metrics.Counter
+	silent  *metrics.Counter
+	unasked *metrics.Counter
+	took    *metrics.Histogram
 }
 
 func newCounters() *counters {
 	return &counters{
-		sends:  metrics.GetOrCreateCounter("baobabstack_gateway_sends_total"),
-		hedges: metrics.GetOrCreateCounter("baobabstack_gateway_hedges_total"),
-		silent: metrics.GetOrCreateCounter("baobabstack_gateway_unanswered_health_checks_total"),
-		took:   metrics.GetOrCreateHistogram("baobabstack_gateway_request_seconds"),
+		sends:   metrics.GetOrCreateCounter("baobabstack_gateway_sends_total"),
+		hedges:  metrics.GetOrCreateCounter("baobabstack_gateway_hedges_total"),
+		silent:  metrics.GetOrCreateCounter("baobabstack_gateway_unanswered_health_checks_total"),
+		unasked: metrics.GetOrCreateCounter("baobabstack_gateway_health_checks_over_budget_total"),
+		took:    metrics.GetOrCreateHistogram("baobabstack_gateway_request_seconds"),
 	}
 }
 
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/baobabstack/baobabstack/internal/placement"
@@ -18,15 +17,21 @@
 func (d *dispatcher) place(ctx context.Context, s *sending) (*offer, string) {
 	state := s.service.state
 	var w *wait
-	defer func() { w.end(state) }()
+	defer func() { state.leave(w) }()
+	var handed *offer
 	for {
 		demand := d.demand(s.request)
 		switch {
 		case demand.Left <= 0 || ctx.Err() != nil:
+			handed.release()
 			return nil, "deadline"
 		case len(s.service.near)+len(s.service.far) == 0:
 			return nil, "no-server"
 		}
+		if handed != nil && !s.tried[handed.target.server] {
+			return handed, ""
+		}
+		handed.release()
 		if w != nil || state.waiting() == 0 {
 			o := d.find(ctx, s.service, demand, s.tried)
 			decision := d.decide(s, o, demand)
@@ -38,11 +43,12 @@
 				return nil, "full"
 			}
 		}
-		if w == nil {
-			w = &wait{Waiter: state.join(s.route, time.Now().Add(demand.Objective-demand.Work))}
+		if !state.queued(w) {
+			w = state.join(s.route, time.Now().Add(demand.Objective-demand.Work))
 			s.trace.waited()
 		}
-		if !w.await(ctx, time.Until(s.received.Add(placement.Patience(s.route.Objective)))) {
+		var ok bool
+		if handed, ok = w.await(ctx, time.Until(s.received.Add(placement.Patience(s.route.Objective)))); !ok {
 			return nil, "deadline"
 		}
 	}
@@ -60,8 +66,9 @@
 // demand returns what the request needs from now on.
 func (d *dispatcher) demand(r *request) placement.Demand {
 	now := time.Now()
+	usual, crowding := d.work(r.route).Usual()
 	return placement.Demand{
-		Work:      d.work(r.route).usual(),
+		Work: usual, Crowding: crowding,
 		Objective: max(r.received.Add(r.route.Objective).Sub(now), time.Millisecond),
 		Left:      r.deadline.Sub(now),
 	}
@@ -69,39 +76,40 @@
 
 // wait is a request's place in its service's queue.
 type wait struct {
-	*placement.Waiter
+	placement.Waiter
 	first bool
+	// handoff brings a server at which a call has just ended.
+	handoff chan *offer
 }
 
 // await waits until the request may ask servers again: when it is the first, with
-// a pause, or when its patience ends. It reports false if the context ends before.
-func (w *wait) await(ctx context.Context, patience time.Duration) bool {
+// a pause, or when its patience ends. It returns a server that has come free
+// meanwhile, and false if the context ends before.
+func (w *wait) await(ctx context.Context, patience time.Duration) (*offer, bool) {
 	limit := time.NewTimer(max(patience, 0))
 	defer limit.Stop()
 	if !w.first {
 		select {
 		case <-w.Turn:
 			w.first = true
+		case o := <-w.handoff:
+			return o, true
 		case <-limit.C:
-			return true
+			return nil, true
 		case <-ctx.Done():
-			return false
+			return nil, false
 		}
 	}
 	pause := time.NewTimer(askAgainAfter)
 	defer pause.Stop()
 	select {
 	case <-pause.C:
-		return true
+	case o := <-w.handoff:
+		return o, true
 	case <-ctx.Done():
-		return false
-	}
-}
-
-func (w *wait) end(state *serviceState) {
-	if w != nil {
-		state.leave(w.Waiter)
+		return nil, false
 	}
+	return nil, true
 }
 
 func (s *serviceState) waiting() int {
@@ -110,64 +118,61 @@
 	return s.queue.Len()
 }
 
-func (s *serviceState) join(r *routing.Route, onTimeUntil time.Time) *placement.Waiter {
+// queued reports whether the wait stands in the queue.
+func (s *serviceState) queued(w *wait) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	w := &placement.Waiter{Priority: r.Priority, OnTimeUntil: onTimeUntil, Turn: make(chan struct{}, 1)}
-	s.queue.Add(w, time.Now())
-	return w
+	return w != nil && w.Queued()
 }
 
-func (s *serviceState) leave(w *placement.Waiter) {
+func (s *serviceState) join(r *routing.Route, onTimeUntil time.Time) *wait {
+	w := &wait{
+		Waiter:  placement.Waiter{Priority: r.Priority, OnTimeUntil: onTimeUntil, Turn: make(chan struct{}, 1)},
+		handoff: make(chan *offer, 1),
+	}
+	w.Owner = w
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.queue.Remove(w, time.Now())
+	s.queue.Add(&w.Waiter, time.Now())
+	return w
 }
 
-// workEstimate is how long the calls of a route run at a server that is as fast
-// as usual.
-type workEstimate struct {
-	mu      sync.Mutex
-	seconds float64
-	samples int
-	initial time.Duration
+// leave ends a wait. A server handed over too late goes to the next in the queue.
+func (s *serviceState) leave(w *wait) {
+	if w == nil {
+		return
+	}
+	s.mu.Lock()
+	s.queue.Remove(&w.Waiter, time.Now())
+	s.mu.Unlock()
+	select {
+	case o := <-w.handoff:
+		s.hand(o)
+	default:
+	}
 }
 
-const (
-	// initialShare of the objective is taken for a route's work until calls have
-	// ended.
-	initialShare = 0.4
-	// workWeight is the weight of the latest call in the estimate.
-	workWeight = 0.05
-)
+// hand gives a server at which a call has just ended to the first request that
+// waits, or releases it.
+func (s *serviceState) hand(o *offer) {
+	s.mu.Lock()
+	first := s.queue.Pop()
+	s.mu.Unlock()
+	if first == nil {
+		o.release()
+		return
+	}
+	first.Owner.(*wait).handoff <- o
+}
 
-func (d *dispatcher) work(r *routing.Route) *workEstimate {
+// work returns the estimate of a route's work.
+func (d *dispatcher) work(r *routing.Route) *placement.Work {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	w, ok := d.works[r.Name]
 	if !ok {
-		w = &workEstimate{initial: time.Duration(initialShare * float64(r.Objective))}
+		w = placement.NewWork(r.Objective)
 		d.works[r.Name] = w
 	}
 	return w
 }
-
-func (w *workEstimate) add(took time.Duration, slowness float64) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.samples++
-	weight := max(workWeight, 1/float64(w.samples+1))
-	if w.samples == 1 {
-		w.seconds = w.initial.Seconds()
-	}
-	w.seconds += weight * (took.Seconds()/slowness - w.seconds)
-}
-
-func (w *workEstimate) usual() time.Duration {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.samples == 0 {
-		return w.initial
-	}
-	return time.Duration(w.seconds * float64(time.Second))
-}
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -100,6 +100,17 @@
 	}
 }
 
+// closeIdle closes the connection unless a request has begun on it.
+func (c *conn) closeIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.pending) > 0 || c.guard.started() || c.wire.unsent() > 0 {
+		return
+	}
+	c.guard.done = true
+	_ = c.nbc.Close()
+}
+
 // only reports whether no other request waits on the connection.
 func (c *conn) only() bool {
 	c.mu.Lock()
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -80,6 +80,7 @@
 	open     atomic.Int64
 	busy     atomic.Int64
 	accepted sync.WaitGroup
+	conns    sync.Map // of *conn, the open connections
 }
 
 // Start listens and serves until Stop.
@@ -127,6 +128,16 @@
 // Drain makes each answer from now on the last one of its connection.
 func (s *Server) Drain() { s.draining.Store(true) }
 
+// CloseIdle stops listening and closes the connections on which no request has
+// begun. A request that crosses the close is not read.
+func (s *Server) CloseIdle() {
+	s.listener.Close()
+	s.conns.Range(func(key, _ any) bool {
+		key.(*conn).closeIdle()
+		return true
+	})
+}
+
 // Busy returns the number of requests that are not answered in full.
 func (s *Server) Busy() int { return int(s.busy.Load()) }
 
@@ -173,6 +184,7 @@
 	nbc.SetSession(c)
 	nbc.OnData(s.onData)
 	s.open.Add(1)
+	s.conns.Store(c, nil)
 	s.counters.connections.Inc()
 	if _, err := s.engine.AddConn(nbc); err != nil {
 		s.closed(c)
@@ -212,6 +224,7 @@
 
 func (s *Server) closed(c *conn) {
 	c.cancel()
+	s.conns.Delete(c)
 	s.open.Add(-1)
 	s.counters.connections.Dec()
 }
--- a/internal/placement/budget.go
+++ b/internal/placement/budget.go
@@ -77,15 +77,20 @@
 	latest time.Time
 }
 
-// rateBurst is how many seconds of the rate may be saved up.
-const rateBurst = 2.0
+const (
+	// rateBurst is how many seconds of the rate may be saved up: the rate holds
+	// over a day, and bursts of load last some seconds.
+	rateBurst = 20.0
+	// rateStart is how many seconds of the rate a new process starts with.
+	rateStart = 2.0
+)
 
 // Take takes n tokens of a bucket that fills at a rate a second, if it has them.
 func (r *Rate) Take(n int, perSecond float64, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.latest.IsZero() {
-		r.tokens = perSecond * rateBurst
+		r.tokens = perSecond * rateStart
 	} else {
 		r.tokens = min(r.tokens+now.Sub(r.latest).Seconds()*perSecond, perSecond*rateBurst)
 	}
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -33,15 +33,11 @@
 func Decide(c *Candidate, d Demand, held, objective time.Duration) Decision {
 	patient := held < Patience(objective)
 	switch {
-	case c == nil && patient:
-		return Wait
-	case c == nil:
-		return Refuse
-	case c.Free() && c.InTime(d), c.Finish(d.Work) <= d.Objective:
+	case c != nil && c.Fits(d):
 		return Send
 	case patient:
 		return Wait
-	case c.InTime(d):
+	case c != nil && c.Free() && c.InTime(d):
 		return Send
 	default:
 		return Refuse
--- a/internal/placement/estimate.go
+++ b/internal/placement/estimate.go
@@ -26,11 +26,9 @@
 }
 
 const (
-	// crowdedShare is the share of slots from which servers slow down, as those
-	// that share a processor do.
+	// crowdedShare is the share of slots in use above which a server may slow
+	// down, as those that share a processor do.
 	crowdedShare = 0.8
-	// crowdedFactor is how much longer work takes there.
-	crowdedFactor = 1.35
 	// farShare of a call's objective is what leaving the data centre may cost: a
 	// kilobyte costs a few hundredths of a call's worth.
 	farShare = 0.1
@@ -44,6 +42,8 @@
 type Demand struct {
 	// Work is how long the call usually runs.
 	Work time.Duration
+	// Crowding is how many times longer it runs at a server that is nearly full.
+	Crowding float64
 	// Objective is the time in which an answer is worth most, Left the time in
 	// which it is worth anything, both from now on.
 	Objective, Left time.Duration
@@ -54,12 +54,17 @@
 
 func (c Candidate) ahead() int { return c.Running + c.Waiting + c.Extra }
 
+// Crowded reports whether the server is nearly full with one more call.
+func (c Candidate) Crowded() bool {
+	return float64(c.ahead()+1) > crowdedShare*float64(max(c.Slots, 1))
+}
+
 // Finish returns the time until an answer is expected.
-func (c Candidate) Finish(work time.Duration) time.Duration {
+func (c Candidate) Finish(d Demand) time.Duration {
 	slots := max(c.Slots, 1)
-	run := float64(work) * max(c.Slowness, minSlowness)
-	if float64(c.ahead()+1) > crowdedShare*float64(slots) {
-		run *= crowdedFactor
+	run := float64(d.Work) * max(c.Slowness, minSlowness)
+	if c.Crowded() {
+		run *= max(d.Crowding, 1)
 	}
 	queue := max(c.ahead()+1-slots, 0)
 	return time.Duration(run * (1 + float64(queue)/float64(slots)))
@@ -70,7 +75,7 @@
 
 // Cost is Finish with what else counts against a server, as time.
 func (c Candidate) Cost(d Demand) time.Duration {
-	cost := float64(c.Finish(d.Work))
+	cost := float64(c.Finish(d))
 	f := min(c.Failing, maxFailing)
 	cost += f / (1 - f) * failedShare * float64(d.Objective)
 	if c.Far {
@@ -95,6 +100,8 @@
 	// goodFactor is how much longer than usual a call may take at a server that
 	// needs no comparison with others.
 	goodFactor = 1.6
+	// goodFailing is the share of failed calls below which a server is good.
+	goodFailing = 0.2
 	// fitShare is the share of the objective that the expected time may use,
 	// since half of the calls take longer than expected.
 	fitShare = 0.75
@@ -102,13 +109,44 @@
 
 // Good reports whether the server need not be compared with more of them.
 func (c Candidate) Good(d Demand) bool {
-	return c.Free() && c.Failing < 0.2 && c.Finish(d.Work) <= time.Duration(goodFactor*float64(d.Work))
+	return c.Free() && c.Failing < goodFailing && c.Finish(d) <= time.Duration(goodFactor*float64(d.Work))
 }
 
 // Fits reports whether an answer is expected well within the objective.
 func (c Candidate) Fits(d Demand) bool {
-	return float64(c.Finish(d.Work)) <= fitShare*float64(d.Objective)
+	return float64(c.Finish(d)) <= fitShare*float64(d.Objective)
 }
 
 // InTime reports whether an answer is expected before the caller stops waiting.
-func (c Candidate) InTime(d Demand) bool { return c.Finish(d.Work) < d.Left }
+func (c Candidate) InTime(d Demand) bool { return c.Finish(d) < d.Left }
+
+// Promise ranks servers before they are asked.
+type Promise int
+
+// Ranks, the best first.
+const (
+	// Likely: the server was good a moment ago.
+	Likely Promise = iota
+	// Open: nothing recent is known.
+	Open
+	// Unlikely: the server was slow, full or failing a moment ago.
+	Unlikely
+)
+
+// rememberFor is how long a load says something about a server: load shifts within
+// a few hundred milliseconds.
+const rememberFor = 200 * time.Millisecond
+
+// Promising ranks a server by a load of the given age.
+func Promising(c Candidate, age time.Duration, d Demand) Promise {
+	switch {
+	case c.Failing >= goodFailing:
+		return Unlikely
+	case age > rememberFor:
+		return Open
+	case c.Good(d):
+		return Likely
+	default:
+		return Unlikely
+	}
+}
--- a/internal/placement/waiting.go
+++ b/internal/placement/waiting.go
@@ -14,6 +14,8 @@
 	OnTimeUntil time.Time
 	// Turn gets a value when the call is the first.
 	Turn chan struct{}
+	// Owner is the caller's own.
+	Owner any
 
 	index int
 	late  bool
@@ -35,7 +37,7 @@
 
 // Remove ends the wait of a call.
 func (q *Queue) Remove(w *Waiter, now time.Time) {
-	if w.index < 0 || w.index >= len(q.heap) || q.heap[w.index] != w {
+	if !w.Queued() {
 		return
 	}
 	heap.Remove(&q.heap, w.index)
@@ -43,6 +45,19 @@
 	q.wake()
 }
 
+// Pop removes the first call and returns it, or nil.
+func (q *Queue) Pop() *Waiter {
+	if len(q.heap) == 0 {
+		return nil
+	}
+	w := heap.Pop(&q.heap).(*Waiter)
+	q.wake()
+	return w
+}
+
+// Queued reports whether the call waits.
+func (w *Waiter) Queued() bool { return w.index >= 0 }
+
 // age puts calls that can no longer be on time behind the others.
 func (q *Queue) age(now time.Time) {
 	changed := false
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -26,7 +26,7 @@
 	// Budgets bound what all gateways together may spend.
 	Budgets Budgets `toml:"budgets"`
 	// Stop configures the graceful stop.
-	Stop Stop `toml:"stop"`
+	Stop GatewayStop `toml:"stop"`
 	// Log configures the log.
 	Log Log `toml:"log"`
 }
@@ -77,6 +77,12 @@
 	ProbesPerSecond float64 `toml:"probes_per_second"`
 }
 
+// GatewayStop configures a gateway's graceful stop.
+type GatewayStop struct {
+	// Grace is the time from SIGTERM to SIGKILL.
+	Grace Duration `toml:"grace"`
+}
+
 // LoadGateway reads and checks a gateway's settings file. All faults found are
 // returned; each names file, line, key and remedy.
 func LoadGateway(file string) (*Gateway, []error) {
@@ -90,7 +96,7 @@
 // ParseGateway checks the text of a gateway's settings file. The file name is
 // used in faults only.
 func ParseGateway(file string, data []byte) (*Gateway, []error) {
-	s := &Gateway{Log: Log{Level: "info"}, Stop: Stop{LameDuck: Duration{defaultLameDuck}, Drain: Duration{defaultDrain}}}
+	s := &Gateway{Log: Log{Level: "info"}}
 	if err := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields().Decode(s); err != nil {
 		return nil, lists.TOMLFaults(fault.Settings, file, err)
 	}
@@ -116,8 +122,7 @@
 	}
 	c.positive("vm.memory_mb", s.VM.MemoryMB)
 	c.duration("budgets.retry_window", s.Budgets.RetryWindow)
-	c.duration("stop.lame_duck", s.Stop.LameDuck)
-	c.duration("stop.drain", s.Stop.Drain)
+	c.duration("stop.grace", s.Stop.Grace)
 	if s.Budgets.RetryRatio < 0 || s.Budgets.RetrySlack < 0 || s.Budgets.ProbesPerSecond < 0 {
 		c.add("budgets", "has a negative number", "use 0 or more")
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -83,7 +83,7 @@
 // write sends a whole request. It returns the number of bytes that the kernel
 // took.
 func (c *conn) write(data []byte, deadline time.Time) (int, error) {
-	c.keep = false
+	c.keep, c.fresh = false, false
 	if err := c.raw.SetDeadline(deadline); err != nil {
 		return 0, errors.WithStack(err)
 	}
@@ -123,7 +123,6 @@
 
 func (c *conn) answered(res *http.Response) {
 	c.usedAt = time.Now()
-	c.fresh = false
 	c.keep = !res.Close && c.reader.Buffered() == 0
 	if told, ok := keepAlive(res.Header.Get("Keep-Alive")); ok {
 		c.idleFor = told
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -143,9 +143,14 @@
 // past is a deadline that ends reads and writes at once.
 var past = time.Unix(1, 0)
 
-// Open returns a lease without asking the server first.
-func (s *Server) Open(ctx context.Context, timeout time.Duration) (*Lease, error) {
-	c, err := s.pool.take(ctx, timeout, true)
+// Open returns a lease without asking the server first. Its connection is new, or
+// carried an answer within recent.
+func (s *Server) Open(ctx context.Context, timeout, recent time.Duration) (*Lease, error) {
+	c, err := s.pool.take(ctx, timeout, false)
+	if err == nil && !c.fresh && time.Since(c.usedAt) > recent {
+		s.pool.discard(c)
+		c, err = s.pool.take(ctx, timeout, true)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -154,8 +159,9 @@
 
 // Release gives the connection back unused.
 func (l *Lease) Release() {
-	if l != nil {
+	if l != nil && l.conn != nil {
 		l.server.pool.put(l.conn)
+		l.conn = nil
 	}
 }
 
@@ -224,21 +230,24 @@
 
 // Send sends a call and waits for the whole answer until the call's deadline or
 // the end of the context. The connection is closed if there is no answer, which
-// tells the server that no one waits.
+// tells the server that no one waits; else the lease may carry another call.
 func (l *Lease) Send(ctx context.Context, call *Call) Result {
 	s := l.server
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	stop := context.AfterFunc(ctx, func() { _ = l.conn.raw.SetDeadline(past) })
+	raw := l.conn.raw
+	stop := context.AfterFunc(ctx, func() { _ = raw.SetDeadline(past) })
 	r := l.exchange(call)
-	if stop() && r.Err == nil && l.conn.keep {
-		s.pool.put(l.conn)
-	} else {
+	if !stop() || !l.conn.keep {
 		s.pool.discard(l.conn)
+		l.conn = nil
 	}
 	return r
 }
 
+// Usable reports whether the lease may carry another call.
+func (l *Lease) Usable() bool { return l.conn != nil }
+
 func (l *Lease) exchange(call *Call) Result {
 	s := l.server
 	if n, err := l.conn.write(s.encode(call), call.Deadline); err != nil {
