Read the store with one gateway for the fleet, and start from seeds

Change: gateways are ranked by their link; the first reads the store, the first of each data centre follows it, the others follow theirs. Large items are compressed once. A starting gateway follows a seed before it asks the store.

--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,9 +28,16 @@
 }
 
 const (
-	// settleTime is how long after the start an entry reads the store itself,
-	// since it doesn't know the others yet.
+	// patience is how long a starting entry looks for another that knows the
+	// state before it asks the store itself, and patienceSpread spreads the calls
+	// of entries that start together.
+	patience       = 600 * time.Millisecond
+	patienceSpread = 600 * time.Millisecond
+	// settleTime is how long another entry is followed before a better one takes
+	// its place, so that news of the fleet can settle.
 	settleTime = 2500 * time.Millisecond
+	// peerBackoff is the pause after another entry failed as a source.
+	peerBackoff = 40 * time.Millisecond
 	// staleAge is the age of another entry's news from which the store is asked
 	// instead: a reader hears from the store at least every watchWait.
 	staleAge = 1700 * time.Millisecond
@@ -45,8 +53,10 @@
 	// failureGap is the longest time between two failures of one outage: a pause
 	// and the timeout of a call.
 	failureGap = 2500 * time.Millisecond
-	// tickEvery is the pause between two looks at the sources.
-	tickEvery = 100 * time.Millisecond
+	// tickUnknown and tickKnown are the pauses between two looks at the sources
+	// before and after the state is known.
+	tickUnknown = 25 * time.Millisecond
+	tickKnown   = 200 * time.Millisecond
 	// feedLength bounds the changes that wait for one follower.
 	feedLength = 64
 )
@@ -81,6 +91,8 @@
 	session   *session
 	sessions  int
 	lastStore time.Time // the last try of the store that failed
+	lastPeer  time.Time // the last failure of another entry
+	patience  time.Duration
 	failing   time.Time // since when the store fails
 	backoff   time.Duration
 
@@ -121,7 +133,8 @@
 // Serve follows the store until the context ends.
 func (f *Follower) Serve(ctx context.Context) error {
 	f.started = time.Now()
-	tick := time.NewTicker(tickEvery)
+	f.patience = patience + rand.N(patienceSpread)
+	tick := time.NewTimer(tickUnknown)
 	defer tick.Stop()
 	f.choose(ctx, time.Now())
 	for {
@@ -132,17 +145,25 @@
 			now := time.Now()
 			f.publish(f.state.Expire(now))
 			f.choose(ctx, now)
+			tick.Reset(f.tick())
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
 }
 
+func (f *Follower) tick() time.Duration {
+	if f.session != nil && f.session.heard {
+		return tickKnown
+	}
+	return tickUnknown
+}
+
 // choose starts another session if a better source than the present one may be
 // had, or if there is none.
 func (f *Follower) choose(ctx context.Context, now time.Time) {
 	peers, reader := f.options.Peers(now)
-	storeFirst := reader || now.Sub(f.started) < settleTime
+	storeFirst := reader || (!f.state.Known() && now.Sub(f.started) > f.patience)
 	next := f.pick(now, peers, storeFirst)
 	s := f.session
 	switch {
@@ -162,9 +183,9 @@
 	}
 	storeReady := now.Sub(f.lastStore) >= pause
 	switch {
-	case storeReady && (storeFirst || len(peers) == 0 || f.stale()):
+	case storeReady && (storeFirst || f.stale()):
 		return f.options.Store
-	case len(peers) > 0:
+	case len(peers) > 0 && now.Sub(f.lastPeer) >= peerBackoff:
 		return peers[0]
 	default:
 		return nil
@@ -235,8 +256,13 @@
 	}
 	f.resumable = s.source.Direct()
 	changed := f.state.Apply(e.batch, now)
-	f.confirmed.Store(max(f.confirmed.Load(), int64(f.clock.Now()-e.batch.Age)))
+	confirmed := int64(f.clock.Now() - e.batch.Age)
+	newer := confirmed > f.confirmed.Load()
+	f.confirmed.Store(max(f.confirmed.Load(), confirmed))
 	f.publish(changed)
+	if newer && len(changed) == 0 && s.source.Direct() {
+		f.feed(Batch{}) // followers learn that nothing is newer
+	}
 }
 
 func (f *Follower) failed(s *session, err error, now time.Time) {
@@ -245,6 +271,7 @@
 	f.session = nil
 	switch {
 	case !s.source.Direct():
+		f.lastPeer = now
 		return
 	case errors.Is(err, ErrHistoryLost):
 		f.resumable = false
@@ -280,10 +307,16 @@
 	if f.state.Known() {
 		f.options.Publish(View{Table: f.state.Table(), Servers: f.state.Servers(), Revision: f.state.Revision()})
 	}
-	b := Batch{Items: changed, Revision: f.state.Revision()}
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.full = f.state.Full()
+	f.mu.Unlock()
+	f.feed(Batch{Items: changed, Revision: f.state.Revision()})
+}
+
+// feed gives a batch to all followers.
+func (f *Follower) feed(b Batch) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for c := range f.subscribers {
 		select {
 		case c <- b:
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"time"
 
@@ -43,12 +44,12 @@
 	address string
 	members *Members
 	feed    Feed
-	log     logs.Logger
+	packer  packer
 }
 
 // NewService returns the service on an address.
 func NewService(address string, members *Members, feed Feed) *Service {
-	return &Service{address: address, members: members, feed: feed, log: logs.For("fleet")}
+	return &Service{address: address, members: members, feed: feed, packer: packer{log: logs.For("fleet")}}
 }
 
 // Serve listens until the context ends.
@@ -72,37 +73,35 @@
 	s.members.Merge([]*fleetwire.Member{req.GetSelf()}, time.Now())
 	full, changes, cancel := s.feed.Subscribe()
 	defer cancel()
-	if err := s.sendUpdate(stream, full); err != nil {
+	if err := stream.Send(s.update(full)); err != nil {
 		return err
 	}
-	heartbeat := time.NewTicker(heartbeatEvery)
+	heartbeat := time.NewTimer(heartbeatEvery)
 	defer heartbeat.Stop()
 	for {
-		var err error
+		b := discovery.Batch{}
 		select {
-		case b, ok := <-changes:
+		case next, ok := <-changes:
 			if !ok {
 				return errors.New("the follower is too slow")
 			}
-			err = s.sendUpdate(stream, b)
+			b = next
 		case <-heartbeat.C:
-			err = s.sendUpdate(stream, discovery.Batch{})
 		case <-stream.Context().Done():
 			return stream.Context().Err()
 		}
-		if err != nil {
+		heartbeat.Reset(heartbeatEvery)
+		if err := stream.Send(s.update(b)); err != nil {
 			return err
 		}
 	}
 }
 
-func (s *Service) sendUpdate(stream fleetwire.Fleet_FollowServer, b discovery.Batch) error {
+func (s *Service) update(b discovery.Batch) *fleetwire.Update {
 	age, known := s.feed.Age()
 	u := &fleetwire.Update{Full: b.Full && known, Revision: b.Revision, AgeMs: millis(age), Known: known}
-	for _, item := range b.Items {
-		u.Items = append(u.Items, &fleetwire.Item{Key: item.Key, Value: item.Value, Revision: item.Revision, Deleted: item.Deleted})
-	}
-	return stream.Send(u)
+	u.Items, u.Packed = s.packer.pack(b)
+	return u
 }
 
 func millis(d time.Duration) uint32 { return uint32(min(d.Milliseconds(), 1<<31)) } //nolint:gosec // bounded
@@ -156,25 +155,46 @@
 		if !u.GetKnown() || (first && !u.GetFull()) {
 			return errors.WithStack(errNothingKnown)
 		}
-		deliver(batch(u))
+		b, err := batch(u)
+		if err != nil {
+			return err
+		}
+		deliver(b)
 	}
 }
 
-func batch(u *fleetwire.Update) discovery.Batch {
+func batch(u *fleetwire.Update) (discovery.Batch, error) {
 	b := discovery.Batch{Full: u.GetFull(), Revision: u.GetRevision(), Age: time.Duration(u.GetAgeMs()) * time.Millisecond}
-	for _, item := range u.GetItems() {
+	items, err := unpack(u)
+	for _, item := range items {
 		b.Items = append(b.Items, discovery.Item{Key: item.GetKey(), Value: item.GetValue(), Revision: item.GetRevision(), Deleted: item.GetDeleted()})
 	}
-	return b
+	return b, err
 }
 
-// Sources returns the gateways to follow, best first, and whether this gateway
-// reads the store for its data centre.
-func Sources(m *Members, now time.Time) ([]discovery.Source, bool) {
-	ranked, reader := m.Sources(now)
-	sources := make([]discovery.Source, 0, len(ranked))
-	for _, target := range ranked {
+// Sources returns whom to hear from: other gateways, best first, and whether this
+// gateway reads the store itself. While no gateway is known, seeds are followed,
+// and a gateway that is a seed reads the store.
+func Sources(m *Members, seeds []string, now time.Time) ([]discovery.Source, bool) {
+	roles := m.Roles(now)
+	if len(roles.Sources) == 0 {
+		return seedSources(m, seeds)
+	}
+	sources := make([]discovery.Source, 0, len(roles.Sources))
+	for _, target := range roles.Sources {
 		sources = append(sources, Peer{members: m, target: target})
 	}
-	return sources, reader
+	return sources, roles.Reader
+}
+
+func seedSources(m *Members, seeds []string) ([]discovery.Source, bool) {
+	var sources []discovery.Source
+	for _, address := range seeds {
+		if address == m.self.Address {
+			return nil, true
+		}
+		sources = append(sources, Peer{members: m, target: &fleetwire.Member{Id: "seed " + address, Address: address}})
+	}
+	rand.Shuffle(len(sources), func(i, j int) { sources[i], sources[j] = sources[j], sources[i] })
+	return sources, false
 }
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -56,7 +56,7 @@
 
 func (m *Members) selfCopy() *fleetwire.Member {
 	s := m.self
-	return &fleetwire.Member{Id: s.Id, Address: s.Address, Zone: s.Zone, Incarnation: s.Incarnation, Beat: s.Beat, Leaving: s.Leaving, GossipAddress: s.GossipAddress}
+	return &fleetwire.Member{Id: s.Id, Address: s.Address, Zone: s.Zone, Incarnation: s.Incarnation, Beat: s.Beat, Leaving: s.Leaving, GossipAddress: s.GossipAddress, Capacity: s.Capacity}
 }
 
 // Leave marks this gateway as leaving.
@@ -142,31 +142,56 @@
 	return out
 }
 
-// Sources ranks the gateways that this one may follow, the reader of its data
-// centre first, then the readers of the others. Reader says that this gateway
-// itself comes before all of its data centre.
-func (m *Members) Sources(now time.Time) (sources []*fleetwire.Member, reader bool) {
-	usable := m.live(now, func(k *member) bool {
+// Roles is whom a gateway hears from.
+type Roles struct {
+	// Reader says that this gateway reads the store for the whole fleet.
+	Reader bool
+	// Sources are the gateways to follow, the best first.
+	Sources []*fleetwire.Member
+}
+
+// Roles ranks the live gateways by what they can pass on. The first of all reads
+// the store; the first of each data centre follows it, and the others follow the
+// first of theirs, so that news crosses between data centres once.
+func (m *Members) Roles(now time.Time) Roles {
+	ranked := append(m.live(now, func(k *member) bool {
 		return k.suspectAt.IsZero() || now.Sub(k.suspectAt) > suspectFor
-	})
-	best := make(map[string]*fleetwire.Member)
-	for _, w := range usable {
-		if b, ok := best[w.Zone]; !ok || rank(w.Id) < rank(b.Id) {
-			best[w.Zone] = w
-		}
+	}), m.copySelf())
+	slices.SortFunc(ranked, before)
+	reader := ranked[0]
+	leader := ranked[slices.IndexFunc(ranked, func(w *fleetwire.Member) bool { return w.Zone == m.self.Zone })]
+	r := Roles{Reader: reader.Id == m.self.Id}
+	if leader.Id != m.self.Id {
+		r.Sources = append(r.Sources, leader)
 	}
-	first, ok := best[m.self.Zone]
-	reader = !ok || rank(m.self.Id) < rank(first.Id)
-	for zone, w := range best {
-		if zone != m.self.Zone {
-			sources = append(sources, w)
-		}
+	if !r.Reader && reader.Id != leader.Id {
+		r.Sources = append(r.Sources, reader)
 	}
-	slices.SortFunc(sources, func(a, b *fleetwire.Member) int { return cmp.Compare(rank(a.Id+m.self.Id), rank(b.Id+m.self.Id)) })
-	if !reader {
-		sources = append([]*fleetwire.Member{first}, sources...)
+	for _, w := range ranked {
+		if len(r.Sources) == maxSources {
+			break
+		}
+		if w.Id != m.self.Id && w.Id != leader.Id && w.Id != reader.Id {
+			r.Sources = append(r.Sources, w)
+		}
 	}
-	return sources, reader
+	return r
 }
 
-func rank(id string) uint64 { return xxhash.Sum64String(id) }
+// maxSources bounds the gateways that are tried as sources.
+const maxSources = 4
+
+func (m *Members) copySelf() *fleetwire.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.selfCopy()
+}
+
+// before ranks by capacity, and then in an order that is the same everywhere.
+func before(a, b *fleetwire.Member) int {
+	return cmp.Or(
+		cmp.Compare(b.Capacity, a.Capacity),
+		cmp.Compare(xxhash.Sum64String(a.Id), xxhash.Sum64String(b.Id)),
+		cmp.Compare(a.Id, b.Id),
+	)
+}
--- /dev/null
+++ b/internal/fleet/pack.go
@@ -0,0 +1,111 @@
+package fleet
+
+import (
+	"bytes"
+	"compress/flate"
+	"io"
+	"sync"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/baobabstack/baobabstack/internal/discovery"
+	"github.com/baobabstack/baobabstack/internal/fleetwire"
+	"github.com/baobabstack/baobabstack/internal/logs"
+)
+
+const (
+	// packFrom is the size in bytes from which items are compressed: below it the
+	// processor time is worth more than the bytes.
+	packFrom = 4 << 10
+	// maxUnpacked bounds what a message may unpack to, far above a configuration's
+	// megabyte and some thousand servers.
+	maxUnpacked = 64 << 20
+)
+
+// packer compresses items once for all followers. It is safe for concurrent use.
+type packer struct {
+	log logs.Logger
+
+	mu   sync.Mutex
+	last packed
+}
+
+// packed is what was compressed last; all followers are told the same.
+type packed struct {
+	full     bool
+	revision uint64
+	count    int
+	data     []byte
+}
+
+// pack returns a batch's items as they are, or compressed if they are large.
+func (p *packer) pack(b discovery.Batch) ([]*fleetwire.Item, []byte) {
+	size := 0
+	for _, item := range b.Items {
+		size += len(item.Key) + len(item.Value)
+	}
+	if size < packFrom {
+		return wireItems(b.Items), nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l := p.last; l.data != nil && l.full == b.Full && l.revision == b.Revision && l.count == len(b.Items) {
+		return nil, l.data
+	}
+	data, err := compress(b.Items)
+	if err != nil {
+		p.log.Warnf("items are sent uncompressed: %v", err)
+		return wireItems(b.Items), nil
+	}
+	p.last = packed{full: b.Full, revision: b.Revision, count: len(b.Items), data: data}
+	return nil, data
+}
+
+func wireItems(items []discovery.Item) []*fleetwire.Item {
+	out := make([]*fleetwire.Item, 0, len(items))
+	for _, item := range items {
+		out = append(out, &fleetwire.Item{Key: item.Key, Value: item.Value, Revision: item.Revision, Deleted: item.Deleted})
+	}
+	return out
+}
+
+func compress(items []discovery.Item) ([]byte, error) {
+	plain, err := proto.Marshal(&fleetwire.Items{Items: wireItems(items)})
+	if err != nil {
+		return nil, errors.Wrap(err, "encode items")
+	}
+	var out bytes.Buffer
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if _, err := w.Write(plain); err != nil {
+		return nil, errors.Wrap(err, "compress items")
+	}
+	if err := w.Close(); err != nil {
+		return nil, errors.Wrap(err, "compress items")
+	}
+	return out.Bytes(), nil
+}
+
+var errUnpackedSize = errors.New("an update unpacks to more than 64 MiB")
+
+// unpack returns the items of an update.
+func unpack(u *fleetwire.Update) ([]*fleetwire.Item, error) {
+	if len(u.GetPacked()) == 0 {
+		return u.GetItems(), nil
+	}
+	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(u.GetPacked())), maxUnpacked+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "decompress items")
+	}
+	if len(plain) > maxUnpacked {
+		return nil, errors.WithStack(errUnpackedSize)
+	}
+	var list fleetwire.Items
+	if err := proto.Unmarshal(plain, &list); err != nil {
+		return nil, errors.Wrap(err, "decode items")
+	}
+	return list.GetItems(), nil
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -77,13 +77,14 @@
 	o.seeds.Store(&s.Fleet.Seeds)
 	o.Members = fleet.NewMembers(&fleetwire.Member{
 		Id: s.Entry.ID, Address: s.Listen.Fleet, GossipAddress: s.Listen.Gossip, Zone: s.Entry.DataCentre,
+		Capacity:    uint32(s.VM.LinkMbps),        //nolint:gosec // checked when the settings were read
 		Incarnation: uint64(o.started.UnixNano()), //nolint:gosec // after 1970
 	})
 	h := newHandler(o, newCounters())
 	reg := newRegistry(o)
 	follower := discovery.NewFollower(discovery.Options{
 		Decoder: o.Decoder, Store: o.Store,
-		Peers: func(now time.Time) ([]discovery.Source, bool) { return fleet.Sources(o.Members, now) },
+		Peers: func(now time.Time) ([]discovery.Source, bool) { return fleet.Sources(o.Members, *o.seeds.Load(), now) },
 		Publish: func(v discovery.View) {
 			if h.current.Swap(reg.build(v, time.Now())) == nil {
 				log.With("after", time.Since(o.started).Round(time.Millisecond)).Infof("ready: configuration and servers are known")
@@ -164,19 +165,25 @@
 	log      logs.Logger
 }
 
-// reloadEvery is the pause between two looks at the settings file, which may
-// change without a signal.
-const reloadEvery = 5 * time.Second
+const (
+	// reloadEvery is the pause between two looks at the settings file, which may
+	// change without a signal.
+	reloadEvery = 5 * time.Second
+	// reloadUnseeded is the pause while the settings name no seeds.
+	reloadUnseeded = 100 * time.Millisecond
+)
 
 // Serve reads the settings at intervals and on request.
 func (r *reloader) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(reloadEvery)
-	defer ticker.Stop()
 	for {
+		pause := reloadEvery
+		if len(*r.options.seeds.Load()) == 0 {
+			pause = reloadUnseeded
+		}
 		select {
 		case <-r.requests:
 			r.log.Infof("reload requested")
-		case <-ticker.C:
+		case <-time.After(pause):
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -63,6 +63,9 @@
 type VM struct {
 	// MemoryMB is the memory in MB that the process may use.
 	MemoryMB int `toml:"memory_mb"`
+	// LinkMbps is the bandwidth of its link in Mbit/s. VMs with faster links pass
+	// on more.
+	LinkMbps float64 `toml:"link_mbps"`
 }
 
 // Budgets bound what all gateways together may spend.
@@ -121,6 +124,9 @@
 		c.address(fmt.Sprintf("fleet.seeds[%d]", i), seed)
 	}
 	c.positive("vm.memory_mb", s.VM.MemoryMB)
+	if s.VM.LinkMbps <= 0 || s.VM.LinkMbps > maxLinkMbps {
+		c.add("vm.link_mbps", fmt.Sprintf("is %g", s.VM.LinkMbps), fmt.Sprintf("give a number above 0 and up to %d", maxLinkMbps))
+	}
 	c.duration("budgets.retry_window", s.Budgets.RetryWindow)
 	c.duration("stop.grace", s.Stop.Grace)
 	if s.Budgets.RetryRatio < 0 || s.Budgets.RetrySlack < 0 || s.Budgets.ProbesPerSecond < 0 {
@@ -129,6 +135,9 @@
 	c.level(s.Log.Level)
 }
 
+// maxLinkMbps is the fastest link that settings may name, 1 Tbit/s.
+const maxLinkMbps = 1_000_000
+
 // level checks the log's level.
 func (c *checker) level(level string) {
 	switch level {
