--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -27,12 +27,25 @@
 	Run(ctx context.Context, resume uint64, deliver func(Batch)) error
 }
 
+// Store is the platform's store.
+type Store interface {
+	Source
+	// Snapshot returns a full batch as it was at most some seconds ago. It is
+	// cheaper than the start of a Run.
+	Snapshot(ctx context.Context) (Batch, error)
+}
+
 const (
-	// patience is how long a starting entry looks for another that knows the
-	// state before it asks the store itself, and patienceSpread spreads the calls
-	// of entries that start together.
-	patience       = 600 * time.Millisecond
-	patienceSpread = 600 * time.Millisecond
+	// snapshotEvery is the pause between two tries of a snapshot while nothing is
+	// known, and snapshotAge the age that its news is taken for.
+	snapshotEvery = 100 * time.Millisecond
+	snapshotAge   = time.Second
+	// stickTime is how long an entry that had to turn to the store stays with it;
+	// stickLonger is that time while other entries can't be reached.
+	stickTime   = time.Second
+	stickLonger = 5 * time.Second
+	// staleSpread spreads the calls of entries that lost the same source.
+	staleSpread = 600 * time.Millisecond
 	// settleTime is how long another entry is followed before a better one takes
 	// its place, so that news of the fleet can settle.
 	settleTime = 2500 * time.Millisecond
@@ -71,7 +84,7 @@
 // Options configures a Follower.
 type Options struct {
 	Decoder Decoder
-	Store   Source
+	Store   Store
 	// Peers returns other entries to follow, best first, and whether this entry
 	// reads the store for its data centre.
 	Peers func(now time.Time) ([]Source, bool)
@@ -86,13 +99,14 @@
 	clock   clock.Boot
 	state   *State
 	events  chan event
-	started time.Time
 
 	session   *session
 	sessions  int
-	lastStore time.Time // the last try of the store that failed
+	lastStore time.Time // the end of the last session of the store
 	lastPeer  time.Time // the last failure of another entry
-	patience  time.Duration
+	// peerFailures counts the failures of other entries since one answered.
+	peerFailures int
+	spread    time.Duration
 	failing   time.Time // since when the store fails
 	backoff   time.Duration
 
@@ -112,7 +126,6 @@
 	source Source
 	cancel context.CancelFunc
 	heard  bool
-	age    time.Duration
 	since  time.Time
 }
 
@@ -132,15 +145,20 @@
 
 // Serve follows the store until the context ends.
 func (f *Follower) Serve(ctx context.Context) error {
-	f.started = time.Now()
-	f.patience = patience + rand.N(patienceSpread)
+	f.spread = rand.N(staleSpread)
 	tick := time.NewTimer(tickUnknown)
 	defer tick.Stop()
+	snapshotCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go f.snapshot(snapshotCtx)
 	f.choose(ctx, time.Now())
 	for {
 		select {
 		case e := <-f.events:
 			f.handle(ctx, e, time.Now())
+			if f.state.Known() {
+				cancel()
+			}
 		case <-tick.C:
 			now := time.Now()
 			f.publish(f.state.Expire(now))
@@ -152,6 +170,28 @@
 	}
 }
 
+// snapshot asks the store for a snapshot until one is there, so that a starting
+// entry need not wait until it has found the others.
+func (f *Follower) snapshot(ctx context.Context) {
+	for {
+		b, err := f.options.Store.Snapshot(ctx)
+		if err == nil {
+			b.Age = snapshotAge
+			f.send(ctx, event{session: snapshotSession, batch: b})
+		} else if ctx.Err() == nil {
+			f.log.Warnf("no snapshot: %v", err)
+		}
+		select {
+		case <-time.After(snapshotEvery):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// snapshotSession marks events of the snapshot at the start.
+const snapshotSession = 0
+
 func (f *Follower) tick() time.Duration {
 	if f.session != nil && f.session.heard {
 		return tickKnown
@@ -163,48 +203,50 @@
 // had, or if there is none.
 func (f *Follower) choose(ctx context.Context, now time.Time) {
 	peers, reader := f.options.Peers(now)
-	storeFirst := reader || (!f.state.Known() && now.Sub(f.started) > f.patience)
-	next := f.pick(now, peers, storeFirst)
+	next := f.pick(now, peers, reader)
 	s := f.session
 	switch {
 	case next == nil, s != nil && s.source.Name() == next.Name():
 		return
-	case s != nil && !f.better(s, next, storeFirst, now):
+	case s != nil && !f.better(s, next, reader, now):
 		return
 	}
 	f.start(ctx, next, now)
 }
 
 // pick returns the source to follow now, or nil if all have to rest.
-func (f *Follower) pick(now time.Time, peers []Source, storeFirst bool) Source {
+func (f *Follower) pick(now time.Time, peers []Source, reader bool) Source {
 	pause := otherBackoff
-	if storeFirst {
+	if reader {
 		pause = f.backoff
 	}
 	storeReady := now.Sub(f.lastStore) >= pause
 	switch {
-	case storeReady && (storeFirst || f.stale()):
+	case storeReady && (reader || f.stale()):
 		return f.options.Store
 	case len(peers) > 0 && now.Sub(f.lastPeer) >= peerBackoff:
-		return peers[0]
+		return peers[f.peerFailures%len(peers)]
 	default:
 		return nil
 	}
 }
 
-// stale reports whether the present session follows another entry that has no
-// recent news itself.
+// stale reports whether the state was not confirmed lately.
 func (f *Follower) stale() bool {
-	return f.session != nil && !f.session.source.Direct() && f.session.heard && f.session.age > staleAge
+	return f.state.Known() && f.clock.Now()-time.Duration(f.confirmed.Load()) > staleAge+f.spread
 }
 
 // better reports whether the present session should end for another source.
-func (f *Follower) better(s *session, next Source, storeFirst bool, now time.Time) bool {
+func (f *Follower) better(s *session, next Source, reader bool, now time.Time) bool {
 	switch {
 	case next.Direct():
-		return storeFirst || f.stale()
+		return reader || f.stale()
 	case s.source.Direct():
-		return !storeFirst && s.heard
+		stick := stickTime
+		if now.Sub(f.lastPeer) < stickLonger {
+			stick = stickLonger
+		}
+		return !reader && s.heard && now.Sub(s.since) > stick
 	default:
 		return s.heard && now.Sub(s.since) > settleTime
 	}
@@ -214,6 +256,9 @@
 	var resume uint64
 	if s := f.session; s != nil {
 		s.cancel()
+		if s.source.Direct() {
+			f.lastStore = now
+		}
 	}
 	if source.Direct() && f.resumable {
 		resume = f.state.Revision()
@@ -238,6 +283,12 @@
 
 func (f *Follower) handle(ctx context.Context, e event, now time.Time) {
 	s := f.session
+	if e.session == snapshotSession {
+		if !f.state.Known() {
+			f.apply(e.batch, now)
+		}
+		return
+	}
 	if s == nil || e.session != s.id {
 		return
 	}
@@ -250,21 +301,25 @@
 		s.heard = true
 		f.log.With("source", s.source.Name()).With("age", e.batch.Age).Infof("source answers")
 	}
-	s.age = e.batch.Age
 	if s.source.Direct() {
 		f.storeAnswered(now)
+	} else {
+		f.peerFailures = 0
 	}
 	f.resumable = s.source.Direct()
-	changed := f.state.Apply(e.batch, now)
-	confirmed := int64(f.clock.Now() - e.batch.Age)
-	newer := confirmed > f.confirmed.Load()
-	f.confirmed.Store(max(f.confirmed.Load(), confirmed))
-	f.publish(changed)
-	if newer && len(changed) == 0 && s.source.Direct() {
+	if !f.apply(e.batch, now) && s.source.Direct() {
 		f.feed(Batch{}) // followers learn that nothing is newer
 	}
 }
 
+// apply takes a batch and reports whether it changed anything.
+func (f *Follower) apply(b Batch, now time.Time) bool {
+	changed := f.state.Apply(b, now)
+	f.confirmed.Store(max(f.confirmed.Load(), int64(f.clock.Now()-b.Age)))
+	f.publish(changed)
+	return len(changed) > 0
+}
+
 func (f *Follower) failed(s *session, err error, now time.Time) {
 	s.cancel()
 	f.log.With("source", s.source.Name()).With("heard", s.heard).Warnf("source lost: %v", err)
@@ -272,6 +327,7 @@
 	switch {
 	case !s.source.Direct():
 		f.lastPeer = now
+		f.peerFailures++
 		return
 	case errors.Is(err, ErrHistoryLost):
 		f.resumable = false
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -23,6 +23,9 @@
 	// a pause of the sender's processor. With the time to turn to another source
 	// it stays well below the two seconds in which a leaving server must be known.
 	silentAfter = time.Second
+	// firstAfter is how long a follower waits for the first update, connecting
+	// included: machines that start together are dark to each other for a moment.
+	firstAfter = 300 * time.Millisecond
 	// bufferBytes is the size of a link's buffers: a link carries a few small
 	// messages a second.
 	bufferBytes = 4 << 10
@@ -131,13 +134,15 @@
 	defer conn.Close()
 	limited, cancel := context.WithCancel(ctx)
 	defer cancel()
-	silent := time.AfterFunc(silentAfter, cancel)
+	silent := time.AfterFunc(firstAfter, cancel)
 	defer silent.Stop()
 	err = p.receive(limited, conn, silent, deliver)
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
-	p.members.Suspect(p.target.Id, time.Now())
+	if !errors.Is(err, errNothingKnown) { // it has just started, and will know soon
+		p.members.Suspect(p.target.Id, time.Now())
+	}
 	return errors.Wrapf(err, "follow %s", p.target.Id)
 }
 
--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -15,6 +15,9 @@
 	// askAtOnce is how many servers are asked side by side; more are asked only if
 	// none of these is good, because health checks are budgeted.
 	askAtOnce = 2
+	// favourites is how many servers of each data centre are asked first. With a
+	// third of the servers slow, all of them are slow once in some hundred times.
+	favourites = 6
 	// askMost is how many servers are asked for one send.
 	askMost = 8
 	// askTimeout bounds a health check: a few ms to and from another data centre,
@@ -46,8 +49,8 @@
 	}
 }
 
-// usable returns the servers to ask, most promising first, without those that
-// rest or have been tried.
+// usable returns the servers to ask, the favourites first and of these the most
+// promising, without those that rest or have been tried.
 func usable(from []*target, tried map[*upstream.Server]bool, demand placement.Demand, now time.Time) []*target {
 	type ranked struct {
 		t    *target
@@ -59,8 +62,12 @@
 			list = append(list, ranked{t, placement.Promising(t.candidate(now), now.Sub(t.health.loadAt()), demand)})
 		}
 	}
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	slices.SortStableFunc(list, func(a, b ranked) int { return cmp.Compare(a.rank, b.rank) })
+	for first := list; len(first) > 0; {
+		part := first[:min(favourites, len(first))]
+		rand.Shuffle(len(part), func(i, j int) { part[i], part[j] = part[j], part[i] })
+		slices.SortStableFunc(part, func(a, b ranked) int { return cmp.Compare(a.rank, b.rank) })
+		first = first[len(part):]
+	}
 	out := make([]*target, 0, len(list))
 	for _, r := range list {
 		out = append(out, r.t)
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -1,10 +1,14 @@
 package gateway
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/baobabstack/baobabstack/internal/discovery"
 	"github.com/baobabstack/baobabstack/internal/placement"
 	"github.com/baobabstack/baobabstack/internal/routing"
@@ -82,6 +86,10 @@
 			svc.near = append(svc.near, t)
 		}
 	}
+	for _, svc := range s.services {
+		r.rank(svc.near)
+		r.rank(svc.far)
+	}
 	for id, old := range r.targets {
 		if kept, ok := next[id]; !ok || kept.server != old.server {
 			old.server.Close()
@@ -91,6 +99,16 @@
 	return s
 }
 
+// rank puts servers into this gateway's own order. The first are asked first, so
+// that a gateway of many keeps connections to few servers; the order differs from
+// one gateway to the next, and a server that joins or leaves changes little.
+func (r *registry) rank(list []*target) {
+	self := r.options.Settings.Entry.ID
+	slices.SortFunc(list, func(a, b *target) int {
+		return cmp.Compare(xxhash.Sum64String(self+a.info.ID), xxhash.Sum64String(self+b.info.ID))
+	})
+}
+
 func (r *registry) state(name string) *serviceState {
 	if s, ok := r.services[name]; ok {
 		return s
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -31,7 +31,7 @@
 	// Dialect names the headers.
 	Dialect *upstream.Dialect
 	// Store reads the platform's store, Decoder gives its items their meaning.
-	Store   discovery.Source
+	Store   discovery.Store
 	Decoder discovery.Decoder
 	// Members is the table of gateways; Run sets it.
 	Members *fleet.Members
