Give the reader's role away when the store turns the reader away

Change: a reader that gets no answer tells its followers at once and says so in gossip; the next in rank that the store answers reads. The first of a data centre acts on stale news before the others.

Ruled out: a shorter bound on the age alone, which only makes all of them go sooner.

--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -44,6 +44,9 @@
 	// stickLonger is that time while other entries can't be reached.
 	stickTime   = time.Second
 	stickLonger = 5 * time.Second
+	// leaderTime is how much longer the others wait than the first of their data
+	// centre.
+	leaderTime = 500 * time.Millisecond
 	// staleSpread spreads the calls of entries that lost the same source.
 	staleSpread = 600 * time.Millisecond
 	// settleTime is how long another entry is followed before a better one takes
@@ -81,13 +84,23 @@
 	Revision uint64
 }
 
+// Peers says whom an entry hears from.
+type Peers struct {
+	// Reader says that the entry reads the store for the fleet, Leader that it is
+	// the first of its data centre.
+	Reader, Leader bool
+	// Sources are other entries, the best first.
+	Sources []Source
+}
+
 // Options configures a Follower.
 type Options struct {
 	Decoder Decoder
 	Store   Store
-	// Peers returns other entries to follow, best first, and whether this entry
-	// reads the store for its data centre.
-	Peers func(now time.Time) ([]Source, bool)
+	// Peers returns whom to hear from now.
+	Peers func(now time.Time) Peers
+	// Contact takes whether the store answers this entry.
+	Contact func(answers bool, now time.Time)
 	// Publish takes each new view; it is called by the control goroutine.
 	Publish func(View)
 }
@@ -106,14 +119,15 @@
 	lastPeer  time.Time // the last failure of another entry
 	// peerFailures counts the failures of other entries since one answered.
 	peerFailures int
-	spread    time.Duration
-	failing   time.Time // since when the store fails
-	backoff   time.Duration
+	spread       time.Duration
+	failing      time.Time // since when the store fails
+	backoff      time.Duration
 
 	// resumable says that the state's revision is the store's own, so that a watch
 	// can go on from there.
 	resumable bool
 
+	lost      atomic.Bool
 	confirmed atomic.Int64 // time since boot at which the store confirmed the state
 
 	mu          sync.Mutex
@@ -202,51 +216,56 @@
 // choose starts another session if a better source than the present one may be
 // had, or if there is none.
 func (f *Follower) choose(ctx context.Context, now time.Time) {
-	peers, reader := f.options.Peers(now)
-	next := f.pick(now, peers, reader)
+	peers := f.options.Peers(now)
+	next := f.pick(now, peers)
 	s := f.session
 	switch {
 	case next == nil, s != nil && s.source.Name() == next.Name():
 		return
-	case s != nil && !f.better(s, next, reader, now):
+	case s != nil && !f.better(s, next, peers, now):
 		return
 	}
 	f.start(ctx, next, now)
 }
 
 // pick returns the source to follow now, or nil if all have to rest.
-func (f *Follower) pick(now time.Time, peers []Source, reader bool) Source {
+func (f *Follower) pick(now time.Time, peers Peers) Source {
 	pause := otherBackoff
-	if reader {
+	if peers.Reader {
 		pause = f.backoff
 	}
 	storeReady := now.Sub(f.lastStore) >= pause
 	switch {
-	case storeReady && (reader || f.stale()):
+	case storeReady && (peers.Reader || f.stale(peers)):
 		return f.options.Store
-	case len(peers) > 0 && now.Sub(f.lastPeer) >= peerBackoff:
-		return peers[f.peerFailures%len(peers)]
+	case len(peers.Sources) > 0 && now.Sub(f.lastPeer) >= peerBackoff:
+		return peers.Sources[f.peerFailures%len(peers.Sources)]
 	default:
 		return nil
 	}
 }
 
-// stale reports whether the state was not confirmed lately.
-func (f *Follower) stale() bool {
-	return f.state.Known() && f.clock.Now()-time.Duration(f.confirmed.Load()) > staleAge+f.spread
+// stale reports whether the state was not confirmed lately. Entries that others
+// hear from are the first to act on that.
+func (f *Follower) stale(peers Peers) bool {
+	limit := staleAge
+	if !peers.Leader {
+		limit += leaderTime + f.spread
+	}
+	return f.state.Known() && f.clock.Now()-time.Duration(f.confirmed.Load()) > limit
 }
 
 // better reports whether the present session should end for another source.
-func (f *Follower) better(s *session, next Source, reader bool, now time.Time) bool {
+func (f *Follower) better(s *session, next Source, peers Peers, now time.Time) bool {
 	switch {
 	case next.Direct():
-		return reader || f.stale()
+		return peers.Reader || f.stale(peers)
 	case s.source.Direct():
 		stick := stickTime
 		if now.Sub(f.lastPeer) < stickLonger {
 			stick = stickLonger
 		}
-		return !reader && s.heard && now.Sub(s.since) > stick
+		return !peers.Reader && s.heard && now.Sub(s.since) > stick
 	default:
 		return s.heard && now.Sub(s.since) > settleTime
 	}
@@ -305,6 +324,7 @@
 		f.storeAnswered(now)
 	} else {
 		f.peerFailures = 0
+		f.lost.Store(false) // it is the other that has to say so
 	}
 	f.resumable = s.source.Direct()
 	if !f.apply(e.batch, now) && s.source.Direct() {
@@ -337,8 +357,19 @@
 	}
 	f.lastStore = now
 	f.backoff = min(f.backoff*2, storeBackoffMax)
+	f.contact(false, now)
+	f.feed(Batch{}) // followers turn to another at once
 }
 
+// contact notes whether the store answers this entry.
+func (f *Follower) contact(answers bool, now time.Time) {
+	f.lost.Store(!answers)
+	f.options.Contact(answers, now)
+}
+
+// Lost reports whether this entry reads the store and gets no answer.
+func (f *Follower) Lost() bool { return f.lost.Load() }
+
 // ErrHistoryLost says that the store can't tell what has changed since a
 // revision.
 var ErrHistoryLost = errors.New("the store has dropped the history since the revision")
@@ -350,6 +381,9 @@
 		}
 		f.log.With("failed_for", now.Sub(f.failing).Round(time.Millisecond)).Infof("store answers again")
 	}
+	if !f.failing.IsZero() || f.lost.Load() {
+		f.contact(true, now)
+	}
 	f.failing = time.Time{}
 	f.lastStore = time.Time{}
 	f.backoff = storeBackoffMin
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -39,6 +39,8 @@
 	// Age returns how long ago the store confirmed that there is nothing newer;
 	// ok is false if nothing is known.
 	Age() (age time.Duration, ok bool)
+	// Lost reports whether this gateway reads the store and gets no answer.
+	Lost() bool
 }
 
 // Service offers what this gateway believes to others.
@@ -102,7 +104,7 @@
 
 func (s *Service) update(b discovery.Batch) *fleetwire.Update {
 	age, known := s.feed.Age()
-	u := &fleetwire.Update{Full: b.Full && known, Revision: b.Revision, AgeMs: millis(age), Known: known}
+	u := &fleetwire.Update{Full: b.Full && known, Revision: b.Revision, AgeMs: millis(age), Known: known, Lost: s.feed.Lost()}
 	u.Items, u.Packed = s.packer.pack(b)
 	return u
 }
@@ -160,6 +162,9 @@
 		if !u.GetKnown() || (first && !u.GetFull()) {
 			return errors.WithStack(errNothingKnown)
 		}
+		if u.GetLost() {
+			p.members.Lost(p.target.Id, time.Now())
+		}
 		b, err := batch(u)
 		if err != nil {
 			return err
@@ -177,29 +182,28 @@
 	return b, err
 }
 
-// Sources returns whom to hear from: other gateways, best first, and whether this
-// gateway reads the store itself. While no gateway is known, seeds are followed,
+// Sources returns whom to hear from. While no gateway is known, seeds are followed,
 // and a gateway that is a seed reads the store.
-func Sources(m *Members, seeds []string, now time.Time) ([]discovery.Source, bool) {
+func Sources(m *Members, seeds []string, now time.Time) discovery.Peers {
 	roles := m.Roles(now)
 	if len(roles.Sources) == 0 {
 		return seedSources(m, seeds)
 	}
-	sources := make([]discovery.Source, 0, len(roles.Sources))
+	p := discovery.Peers{Reader: roles.Reader, Leader: roles.Leader}
 	for _, target := range roles.Sources {
-		sources = append(sources, Peer{members: m, target: target})
+		p.Sources = append(p.Sources, Peer{members: m, target: target})
 	}
-	return sources, roles.Reader
+	return p
 }
 
-func seedSources(m *Members, seeds []string) ([]discovery.Source, bool) {
-	var sources []discovery.Source
+func seedSources(m *Members, seeds []string) discovery.Peers {
+	var p discovery.Peers
 	for _, address := range seeds {
 		if address == m.self.Address {
-			return nil, true
+			return discovery.Peers{Reader: true, Leader: true}
 		}
-		sources = append(sources, Peer{members: m, target: &fleetwire.Member{Id: "seed " + address, Address: address}})
+		p.Sources = append(p.Sources, Peer{members: m, target: &fleetwire.Member{Id: "seed " + address, Address: address}})
 	}
-	rand.Shuffle(len(sources), func(i, j int) { sources[i], sources[j] = sources[j], sources[i] })
-	return sources, false
+	rand.Shuffle(len(p.Sources), func(i, j int) { p.Sources[i], p.Sources[j] = p.Sources[j], p.Sources[i] })
+	return p
 }
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -23,6 +23,9 @@
 	newsMembers = 16
 	// forgetAfter is when a silent member is dropped.
 	forgetAfter = 60 * time.Second
+	// lostFor is how long a gateway that the store did not answer is passed over as
+	// its reader.
+	lostFor = 10 * time.Second
 	// suspectFor is how long a member that failed is passed over as a source.
 	suspectFor = 3 * time.Second
 )
@@ -30,15 +33,18 @@
 // Members is what this gateway knows of the others. It is safe for concurrent
 // use.
 type Members struct {
-	mu    sync.Mutex
-	self  *fleetwire.Member
-	known map[string]*member
+	mu   sync.Mutex
+	self *fleetwire.Member
+	// lostAt is when the store last failed to answer this gateway.
+	lostAt time.Time
+	known  map[string]*member
 }
 
 type member struct {
 	wire      *fleetwire.Member
 	heardAt   time.Time
 	suspectAt time.Time
+	lostAt    time.Time
 }
 
 // NewMembers returns a table that knows only this gateway.
@@ -56,7 +62,7 @@
 
 func (m *Members) selfCopy() *fleetwire.Member {
 	s := m.self
-	return &fleetwire.Member{Id: s.Id, Address: s.Address, Zone: s.Zone, Incarnation: s.Incarnation, Beat: s.Beat, Leaving: s.Leaving, GossipAddress: s.GossipAddress, Capacity: s.Capacity}
+	return &fleetwire.Member{Id: s.Id, Address: s.Address, Zone: s.Zone, Incarnation: s.Incarnation, Beat: s.Beat, Leaving: s.Leaving, GossipAddress: s.GossipAddress, Capacity: s.Capacity, Lost: s.Lost}
 }
 
 // Leave marks this gateway as leaving.
@@ -80,7 +86,10 @@
 		}
 		fresh := &member{wire: n, heardAt: now}
 		if ok && old.wire.Incarnation == n.Incarnation {
-			fresh.suspectAt = old.suspectAt
+			fresh.suspectAt, fresh.lostAt = old.suspectAt, old.lostAt
+		}
+		if n.Lost {
+			fresh.lostAt = now
 		}
 		m.known[n.Id] = fresh
 	}
@@ -126,6 +135,35 @@
 	}
 }
 
+// Lost passes over a gateway that the store does not answer as its reader.
+func (m *Members) Lost(id string, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if id == m.self.Id {
+		m.self.Lost, m.lostAt = true, now
+	} else if k, ok := m.known[id]; ok {
+		k.lostAt = now
+	}
+}
+
+// Found ends that for this gateway.
+func (m *Members) Found() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.self.Lost, m.lostAt = false, time.Time{}
+}
+
+// lost reports whether the store has lately failed to answer a gateway.
+func (m *Members) lost(id string, now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	at := m.lostAt
+	if k, ok := m.known[id]; ok {
+		at = k.lostAt
+	}
+	return !at.IsZero() && now.Sub(at) < lostFor
+}
+
 // Live returns the number of live gateways, this one included.
 func (m *Members) Live(now time.Time) int { return len(m.live(now, nil)) + 1 }
 
@@ -144,24 +182,27 @@
 
 // Roles is whom a gateway hears from.
 type Roles struct {
-	// Reader says that this gateway reads the store for the whole fleet.
-	Reader bool
+	// Reader says that this gateway reads the store for the whole fleet, Leader
+	// that it is the first of its data centre.
+	Reader, Leader bool
 	// Sources are the gateways to follow, the best first.
 	Sources []*fleetwire.Member
 }
 
-// Roles ranks the live gateways by what they can pass on. The first of all reads
-// the store; the first of each data centre follows it, and the others follow the
-// first of theirs, so that news crosses between data centres once.
+// Roles ranks the live gateways by what they can pass on. The first of all that
+// the store answers reads it; the first of each data centre follows the reader, and
+// the others follow the first of theirs, so that news crosses between data centres
+// once.
 func (m *Members) Roles(now time.Time) Roles {
 	ranked := append(m.live(now, func(k *member) bool {
 		return k.suspectAt.IsZero() || now.Sub(k.suspectAt) > suspectFor
 	}), m.copySelf())
 	slices.SortFunc(ranked, before)
-	reader := ranked[0]
+	first := slices.IndexFunc(ranked, func(w *fleetwire.Member) bool { return !m.lost(w.Id, now) })
+	reader := ranked[max(first, 0)]
 	leader := ranked[slices.IndexFunc(ranked, func(w *fleetwire.Member) bool { return w.Zone == m.self.Zone })]
-	r := Roles{Reader: reader.Id == m.self.Id}
-	if leader.Id != m.self.Id {
+	r := Roles{Reader: reader.Id == m.self.Id, Leader: leader.Id == m.self.Id}
+	if !r.Leader && !r.Reader {
 		r.Sources = append(r.Sources, leader)
 	}
 	if !r.Reader && reader.Id != leader.Id {
@@ -171,7 +212,7 @@
 		if len(r.Sources) == maxSources {
 			break
 		}
-		if w.Id != m.self.Id && w.Id != leader.Id && w.Id != reader.Id {
+		if w.Id != m.self.Id && !slices.Contains(r.Sources, w) {
 			r.Sources = append(r.Sources, w)
 		}
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -84,7 +84,8 @@
 	reg := newRegistry(o)
 	follower := discovery.NewFollower(discovery.Options{
 		Decoder: o.Decoder, Store: o.Store,
-		Peers: func(now time.Time) ([]discovery.Source, bool) { return fleet.Sources(o.Members, *o.seeds.Load(), now) },
+		Peers:   func(now time.Time) discovery.Peers { return fleet.Sources(o.Members, *o.seeds.Load(), now) },
+		Contact: o.contact,
 		Publish: func(v discovery.View) {
 			if h.current.Swap(reg.build(v, time.Now())) == nil {
 				log.With("after", time.Since(o.started).Round(time.Millisecond)).Infof("ready: configuration and servers are known")
@@ -122,6 +123,15 @@
 	return nil
 }
 
+// contact tells the fleet whether the store answers this gateway.
+func (o *Options) contact(answers bool, now time.Time) {
+	if answers {
+		o.Members.Found()
+	} else {
+		o.Members.Lost(o.Settings.Entry.ID, now)
+	}
+}
+
 // gossipSeeds returns the seeds' gossip addresses: all gateways gossip on the
 // same port.
 func (o *Options) gossipSeeds() []string {
