Send overdue calls to a second server that has room

A dead server among the two asked cost each call 60 ms, the whole time of a health check.

Change: a safe call that takes 1.3 to 1.8 times the expected time goes to a second server as well, if that has a free slot, is as fast as usual, nobody waits, the retry budget allows it and health checks are to spare. Its first server then counts as failing. The first answer of the servers asked is waited for 15 ms, the rest 4 ms.

--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -133,7 +133,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "connect to %s", p.target.Address)
 	}
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	limited, cancel := context.WithCancel(ctx)
 	defer cancel()
 	silent := time.AfterFunc(firstAfter, cancel)
--- a/internal/fleet/gossip.go
+++ b/internal/fleet/gossip.go
@@ -52,7 +52,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = socket.Close() })
 	defer stop()
-	defer socket.Close()
+	defer func() { _ = socket.Close() }()
 	go g.receive(socket)
 	seen := 0
 	for {
--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -23,9 +23,11 @@
 	// askTimeout bounds a health check: a few ms to and from another data centre,
 	// and pauses of small VMs.
 	askTimeout = 60 * time.Millisecond
-	// settleAfter is how long slower answers are waited for once a good server
-	// has answered.
-	settleAfter = 2 * time.Millisecond
+	// firstAnswer is how long the first answer is waited for before others are
+	// asked, and settleAfter how long the rest once there is one. Both are above a
+	// way to another data centre and back.
+	firstAnswer = 15 * time.Millisecond
+	settleAfter = 4 * time.Millisecond
 	// probeShare of the fleet's probe budget is spent: the number of gateways is
 	// known only roughly.
 	probeShare = 0.9
@@ -128,17 +130,16 @@
 	for _, t := range targets {
 		go func() { answers <- d.check(ctx, svc, t) }()
 	}
-	var settled <-chan time.Time
+	timer := time.NewTimer(firstAnswer)
+	defer timer.Stop()
 	for left := len(targets); left > 0; left-- {
 		select {
 		case o := <-answers:
-			best = better(best, o, demand)
-			if settled == nil && best != nil && best.candidate.Good(demand) && left > 1 {
-				timer := time.NewTimer(settleAfter)
-				defer timer.Stop()
-				settled = timer.C
+			if best == nil && o != nil {
+				timer.Reset(settleAfter)
 			}
-		case <-settled:
+			best = better(best, o, demand)
+		case <-timer.C:
 			go discardLate(answers, left)
 			return best, true
 		}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -87,23 +87,25 @@
 // judge says what follows from the end of a send: the caller's answer, or
 // another send.
 func (s *sending) judge(ctx context.Context, r upstream.Result) (answer, bool) {
-	again := s.sends < s.route.Attempts && ctx.Err() == nil
-	switch {
-	case r.Certainty == upstream.Answered && r.Status < http.StatusInternalServerError:
+	if good(&r) {
 		return s.deliver(&r), true
-	case r.Certainty == upstream.Answered:
-		s.ran, s.last = true, &r
-		again = again && s.route.Idempotent
-	case r.Certainty == upstream.Unknown:
-		s.ran = true
-		again = again && s.route.Idempotent
 	}
-	if again {
+	s.note(&r)
+	again := s.sends < s.route.Attempts && ctx.Err() == nil
+	if again && (s.route.Idempotent || r.Certainty == upstream.NotRun) {
 		return answer{}, false
 	}
 	return s.giveUp("attempts"), true
 }
 
+// note keeps what a send that failed says of the request.
+func (s *sending) note(r *upstream.Result) {
+	s.ran = s.ran || r.Certainty != upstream.NotRun
+	if r.Certainty == upstream.Answered {
+		s.last = r
+	}
+}
+
 func (s *sending) deliver(r *upstream.Result) answer {
 	return answer{status: r.Status, header: r.Header, body: r.Body, reason: "server"}
 }
@@ -124,20 +126,36 @@
 }
 
 // send sends a request to one server and waits for its end; a request that may
-// run more than once is sent to a second server if the first turns slow.
+// run more than once is looked after.
 func (d *dispatcher) send(ctx context.Context, s *sending, o *offer) upstream.Result {
+	if s.route.Idempotent {
+		return d.watched(ctx, s, o)
+	}
+	index := s.begin(o)
+	d.metrics.sends.Inc()
+	result := d.exchange(ctx, s.request, o)
+	s.trace.ended(index, result)
+	return result
+}
+
+// begin counts a send and returns its index in the trace.
+func (s *sending) begin(o *offer) int {
 	now := time.Now()
 	s.sends++
 	s.tried[o.target.server] = true
-	s.trace.sent(o, now)
 	o.target.health.sent(now)
-	d.metrics.sends.Inc()
-	call := s.call
-	call.Deadline = s.deadline
+	return s.trace.sent(o, now)
+}
+
+// exchange sends a request and waits for its end. It is safe to run beside other
+// sends of the request.
+func (d *dispatcher) exchange(ctx context.Context, r *request, o *offer) upstream.Result {
+	begin := time.Now()
+	call := r.call
+	call.Deadline = r.deadline
 	result := o.lease.Send(ctx, &call)
-	d.learn(ctx, s, o, &result, time.Since(now))
-	d.passOn(s.service, o, &result)
-	s.trace.ended(len(s.trace.sends)-1, result)
+	d.learn(ctx, r, o, &result, time.Since(begin))
+	d.passOn(r.service, o, &result)
 	return result
 }
 
@@ -157,7 +175,7 @@
 const passOnSlowness = 2.0
 
 // learn keeps what the end of a send says of its server.
-func (d *dispatcher) learn(ctx context.Context, s *sending, o *offer, r *upstream.Result, took time.Duration) {
+func (d *dispatcher) learn(ctx context.Context, s *request, o *offer, r *upstream.Result, took time.Duration) {
 	now := time.Now()
 	h := o.target.health
 	h.answered(r.Load, r.Known)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -30,8 +30,6 @@
 	// unknownRetryAfter is when callers come back to an entry that knows no
 	// configuration: the time of a call to the store.
 	unknownRetryAfter = 100 * time.Millisecond
-	// defaultDeadline stands in for a route's timeout when none is set.
-	defaultDeadline = 30 * time.Second
 )
 
 // ServeHTTP implements http.Handler.
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -32,14 +32,20 @@
 
 func (t *trace) waited() { t.queued = true }
 
-func (t *trace) sent(o *offer, now time.Time) {
+// sent notes a send and returns its index.
+func (t *trace) sent(o *offer, now time.Time) int {
 	c := o.candidate
 	t.sends = append(t.sends, sendTrace{
 		server: o.target.info.ID, running: c.Running + c.Extra, waiting: c.Waiting, slots: c.Slots, slow: c.Slowness,
 		loadAge: now.Sub(o.answeredAt), failing: c.Failing, far: c.Far, at: now,
+		outcome: "abandoned",
 	})
+	return len(t.sends) - 1
 }
 
+// hedged marks the latest send as a second one beside another.
+func (t *trace) hedged() { t.sends[len(t.sends)-1].hedge = true }
+
 func (t *trace) ended(i int, r upstream.Result) {
 	s := &t.sends[i]
 	switch {
--- a/internal/placement/budget.go
+++ b/internal/placement/budget.go
@@ -89,15 +89,32 @@
 func (r *Rate) Take(n int, perSecond float64, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.fill(perSecond, now)
+	if r.tokens < float64(n) {
+		return false
+	}
+	r.tokens -= float64(n)
+	return true
+}
+
+// rateSpare is how many seconds of the rate are kept for calls that have not been
+// sent yet.
+const rateSpare = 3.0
+
+// Spare reports whether there are tokens beyond those kept for calls that have not
+// been sent yet.
+func (r *Rate) Spare(perSecond float64, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fill(perSecond, now)
+	return r.tokens > perSecond*rateSpare
+}
+
+func (r *Rate) fill(perSecond float64, now time.Time) {
 	if r.latest.IsZero() {
 		r.tokens = perSecond * rateStart
 	} else {
 		r.tokens = min(r.tokens+now.Sub(r.latest).Seconds()*perSecond, perSecond*rateBurst)
 	}
 	r.latest = now
-	if r.tokens < float64(n) {
-		return false
-	}
-	r.tokens -= float64(n)
-	return true
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -90,7 +90,7 @@
 func (p *pool) put(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || !(c.keep || c.fresh) || (p.limit > 0 && p.open > p.limit) {
+	if p.closed || (!c.keep && !c.fresh) || (p.limit > 0 && p.open > p.limit) {
 		p.open--
 		c.close()
 		return
