--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -289,6 +289,9 @@
 	go func() {
 		deliver := func(b Batch) { f.send(sessionCtx, event{session: id, batch: b}) }
 		err := source.Run(sessionCtx, resume, deliver)
+		if err == nil {
+			err = errEnded
+		}
 		f.send(sessionCtx, event{session: id, err: err})
 	}()
 }
@@ -370,6 +373,8 @@
 // Lost reports whether this entry reads the store and gets no answer.
 func (f *Follower) Lost() bool { return f.lost.Load() }
 
+var errEnded = errors.New("the source ended")
+
 // ErrHistoryLost says that the store can't tell what has changed since a
 // revision.
 var ErrHistoryLost = errors.New("the store has dropped the history since the revision")
--- a/internal/fleet/gossip.go
+++ b/internal/fleet/gossip.go
@@ -73,7 +73,7 @@
 func (g *Gossip) round(socket net.PacketConn) time.Duration {
 	address, pause := g.partner(time.Now())
 	if address != "" {
-		g.send(socket, address, g.address)
+		g.send(socket, address, &fleetwire.Gossip{ReplyTo: g.address})
 	}
 	return time.Duration(float64(pause) * (0.75 + rand.Float64()/2))
 }
@@ -108,13 +108,17 @@
 	return ""
 }
 
-func (g *Gossip) send(socket net.PacketConn, address, replyTo string) {
+// send adds this gateway's news to a message and sends it.
+func (g *Gossip) send(socket net.PacketConn, address string, message *fleetwire.Gossip) {
 	to, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
 		g.log.With("peer", address).Warnf("not an IP address and port: %v", err)
 		return
 	}
-	data, err := proto.Marshal(&fleetwire.Gossip{Members: g.members.News(time.Now()), ReplyTo: replyTo})
+	if len(message.Members) == 0 {
+		proto.Merge(message, g.members.News(time.Now()))
+	}
+	data, err := proto.Marshal(message)
 	if err != nil {
 		g.log.Errorf("encode gossip: %v", err)
 		return
@@ -142,9 +146,21 @@
 			g.log.With("peer", from).Warnf("gossip can't be decoded, datagram dropped: %v", err)
 			continue
 		}
-		g.members.Merge(news.GetMembers(), time.Now())
-		if news.GetReplyTo() != "" {
-			g.send(socket, news.GetReplyTo(), "")
-		}
+		g.answer(socket, &news, from.String())
+	}
+}
+
+// answer takes the news of a datagram, sends own news if asked to, and asks for
+// gateways that are not known.
+func (g *Gossip) answer(socket net.PacketConn, news *fleetwire.Gossip, from string) {
+	wanted := g.members.MergeGossip(news, time.Now())
+	if known := g.members.Wanted(news.GetWanted()); len(known) > 0 {
+		g.send(socket, from, &fleetwire.Gossip{Members: known})
+	}
+	switch {
+	case news.GetReplyTo() != "":
+		g.send(socket, news.GetReplyTo(), &fleetwire.Gossip{Wanted: wanted})
+	case len(wanted) > 0:
+		g.send(socket, from, &fleetwire.Gossip{Wanted: wanted})
 	}
 }
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -6,21 +6,27 @@
 	"cmp"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/baobabstack/baobabstack/internal/fleetwire"
 )
 
 const (
 	// liveFor is how long a member counts as live without news of it: news of each
-	// of 124 members reached all within 6 rounds in TestNewsReachesALargeFleet.
+	// of 124 members reaches the others within 10 rounds, see
+	// TestNewsReachesALargeFleet.
 	liveFor = 10 * gossipEvery
-	// newsMembers keeps a datagram within an Ethernet frame of 1,500 bytes; an entry
-	// has about 60.
-	newsMembers = 16
+	// newsMembers and newsBeats keep a datagram within an Ethernet frame of 1,500
+	// bytes: an entry has about 80, a hash and a beat 11.
+	newsMembers = 5
+	newsBeats   = 90
+	// maxWanted keeps the entries that another gateway asks for within a frame.
+	maxWanted = 15
 	// forgetAfter is when a silent member is dropped.
 	forgetAfter = 60 * time.Second
 	// lostFor is how long a gateway that the store did not answer is passed over as
@@ -42,6 +48,7 @@
 
 type member struct {
 	wire      *fleetwire.Member
+	hash      uint64
 	heardAt   time.Time
 	suspectAt time.Time
 	lostAt    time.Time
@@ -84,7 +91,7 @@
 		if ok && !newer(n, old.wire) {
 			continue
 		}
-		fresh := &member{wire: n, heardAt: now}
+		fresh := &member{wire: n, hash: hash(n), heardAt: now}
 		if ok && old.wire.Incarnation == n.Incarnation {
 			fresh.suspectAt, fresh.lostAt = old.suspectAt, old.lostAt
 		}
@@ -107,21 +114,78 @@
 	return a.Beat > b.Beat
 }
 
-// News returns this gateway's entry and those of the members heard of last, as
-// many as fit into a datagram.
-func (m *Members) News(now time.Time) []*fleetwire.Member {
-	out := []*fleetwire.Member{m.Self()}
+// News returns this gateway's entry, those of a few members, and the beats of more,
+// as much as fits into a datagram.
+func (m *Members) News(now time.Time) *fleetwire.Gossip {
+	g := &fleetwire.Gossip{Members: []*fleetwire.Member{m.Self()}}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	recent := make([]*member, 0, len(m.known))
 	for _, k := range m.known {
-		if now.Sub(k.heardAt) < liveFor/2 {
+		if now.Sub(k.heardAt) < liveFor {
 			recent = append(recent, k)
 		}
 	}
 	rand.Shuffle(len(recent), func(i, j int) { recent[i], recent[j] = recent[j], recent[i] })
-	for _, k := range recent[:min(len(recent), newsMembers)] {
-		out = append(out, k.wire)
+	for i, k := range recent[:min(len(recent), newsMembers+newsBeats)] {
+		if i < newsMembers {
+			g.Members = append(g.Members, k.wire)
+			continue
+		}
+		g.Heard = append(g.Heard, hash(k.wire))
+		g.Beats = append(g.Beats, k.wire.Beat)
+	}
+	return g
+}
+
+// hash identifies one process of a member.
+func hash(w *fleetwire.Member) uint64 {
+	return xxhash.Sum64String(w.Id + " " + strconv.FormatUint(w.Incarnation, 36))
+}
+
+// MergeGossip takes the news of a datagram and returns the hashes of gateways that
+// are not known.
+func (m *Members) MergeGossip(g *fleetwire.Gossip, now time.Time) (unknown []uint64) {
+	m.Merge(g.GetMembers(), now)
+	if len(g.GetHeard()) != len(g.GetBeats()) {
+		return nil // of a later version of the program
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	byHash := m.byHash()
+	own := hash(m.self)
+	for i, h := range g.GetHeard() {
+		k, ok := byHash[h]
+		switch {
+		case !ok && h != own && len(unknown) < maxWanted:
+			unknown = append(unknown, h)
+		case ok && g.Beats[i] > k.wire.Beat:
+			k.wire = proto.CloneOf(k.wire)
+			k.wire.Beat = g.Beats[i]
+			k.heardAt = now
+		}
+	}
+	return unknown
+}
+
+func (m *Members) byHash() map[uint64]*member {
+	out := make(map[uint64]*member, len(m.known))
+	for _, k := range m.known {
+		out[k.hash] = k
+	}
+	return out
+}
+
+// Wanted returns the entries of gateways that another asks for.
+func (m *Members) Wanted(hashes []uint64) []*fleetwire.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	byHash := m.byHash()
+	var out []*fleetwire.Member
+	for _, h := range hashes[:min(len(hashes), maxWanted)] {
+		if k, ok := byHash[h]; ok {
+			out = append(out, k.wire)
+		}
 	}
 	return out
 }
--- /dev/null
+++ b/internal/fleet/members_test.go
@@ -0,0 +1,198 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/baobabstack/baobabstack/internal/discovery"
+	"github.com/baobabstack/baobabstack/internal/fleetwire"
+	"github.com/baobabstack/baobabstack/internal/standin"
+)
+
+var now = time.Unix(1000, 0)
+
+func wire(id, zone string, capacity uint32) *fleetwire.Member {
+	return &fleetwire.Member{Id: id, Address: id + ":1", GossipAddress: id + ":2", Zone: zone, Incarnation: 1, Beat: 1, Capacity: capacity}
+}
+
+func table(self *fleetwire.Member, others ...*fleetwire.Member) *Members {
+	m := NewMembers(self)
+	m.Merge(others, now)
+	return m
+}
+
+func names(list []*fleetwire.Member) (out []string) {
+	for _, w := range list {
+		out = append(out, w.Id)
+	}
+	return out
+}
+
+func TestRolesGoByCapacityAndDataCentre(t *testing.T) {
+	all := []*fleetwire.Member{wire("a1", "a", 200), wire("a2", "a", 10), wire("b1", "b", 100), wire("b2", "b", 10)}
+	want := map[string]Roles{
+		"a1": {Reader: true, Leader: true},
+		"a2": {}, "b1": {Leader: true}, "b2": {},
+	}
+	first := map[string]string{"a2": "a1", "b1": "a1", "b2": "b1"}
+	for _, self := range all {
+		r := table(self, all...).Roles(now)
+		assert.Equal(t, r.Reader, want[self.Id].Reader, self.Id)
+		assert.Equal(t, r.Leader, want[self.Id].Leader, self.Id)
+		if !r.Reader {
+			assert.Equal(t, r.Sources[0].Id, first[self.Id], self.Id)
+		}
+	}
+}
+
+func TestRoleOfAReaderThatTheStoreTurnsAwayGoesToTheNext(t *testing.T) {
+	a, b, c := wire("a", "x", 30), wire("b", "x", 20), wire("c", "x", 10)
+	m := table(b, a, c)
+	assert.Assert(t, !m.Roles(now).Reader)
+	m.Lost("a", now)
+	assert.Assert(t, m.Roles(now).Reader)
+	m.Lost("b", now)
+	m.Lost("c", now)
+	assert.Assert(t, !m.Roles(now).Reader, "when the store answers no one, the first goes on trying")
+	m.Found()
+	assert.Assert(t, m.Roles(now).Reader)
+}
+
+func TestSilentMemberIsPassedOver(t *testing.T) {
+	m := table(wire("b", "x", 10), wire("a", "x", 30))
+	assert.DeepEqual(t, names(m.Roles(now).Sources), []string{"a"})
+	m.Suspect("a", now)
+	assert.Assert(t, m.Roles(now).Reader)
+	assert.Assert(t, !m.Roles(now.Add(suspectFor+time.Millisecond)).Reader)
+	assert.Equal(t, m.Live(now.Add(liveFor)), 1, "no news for long")
+}
+
+func TestOldNewsOfAMemberIsIgnored(t *testing.T) {
+	m := table(wire("b", "x", 10), wire("a", "x", 30))
+	again := wire("a", "x", 30)
+	again.Incarnation, again.Beat, again.Leaving = 2, 0, true
+	m.Merge([]*fleetwire.Member{again}, now)
+	assert.Equal(t, m.Live(now), 1)
+	m.Merge([]*fleetwire.Member{wire("a", "x", 30)}, now)
+	assert.Equal(t, m.Live(now), 1, "news of an earlier process")
+}
+
+// tell passes news on, with the entries that are asked for.
+func tell(from, to *Members, clock time.Time) {
+	wanted := to.MergeGossip(from.News(clock), clock)
+	to.Merge(from.Wanted(wanted), clock)
+}
+
+func TestNewsReachesALargeFleet(t *testing.T) {
+	const size, rounds = 124, 30
+	fleet := make([]*Members, size)
+	for i := range fleet {
+		fleet[i] = NewMembers(wire(fmt.Sprintf("m%d", i), fmt.Sprintf("z%d", i%3), 10))
+		if i > 0 {
+			fleet[i].Merge([]*fleetwire.Member{fleet[0].copySelf()}, now)
+		}
+	}
+	clock := now
+	for round := range rounds {
+		clock = clock.Add(gossipEvery)
+		for i, m := range fleet {
+			partner := 0
+			if known := m.live(clock, nil); len(known) > 0 {
+				_, _ = fmt.Sscanf(known[rand.IntN(len(known))].Id, "m%d", &partner)
+			}
+			tell(m, fleet[partner], clock)
+			tell(fleet[partner], fleet[i], clock)
+		}
+		if round < 9 {
+			continue
+		}
+		for i, m := range fleet {
+			assert.Assert(t, m.Live(clock) > size*95/100, "m%d knows %d after %d rounds", i, m.Live(clock), round+1)
+		}
+	}
+}
+
+type feed struct {
+	full    discovery.Batch
+	changes chan discovery.Batch
+	lost    bool
+}
+
+func (f *feed) Subscribe() (discovery.Batch, <-chan discovery.Batch, func()) {
+	return f.full, f.changes, func() {}
+}
+func (f *feed) Age() (time.Duration, bool) { return 5 * time.Millisecond, f.full.Full }
+func (f *feed) Lost() bool                 { return f.lost }
+
+func TestFollowerGetsAllAndThenEachChange(t *testing.T) {
+	large := make([]byte, 2*packFrom)
+	f := &feed{
+		full:    discovery.Batch{Full: true, Revision: 7, Items: []discovery.Item{{Key: "k", Value: large, Revision: 7}}},
+		changes: make(chan discovery.Batch, 1),
+	}
+	address, err := standin.FreeAddress()
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	service := NewService(address, NewMembers(wire("a", "x", 1)), f)
+	go func() { _ = service.Serve(ctx) }()
+
+	got := make(chan discovery.Batch, 16)
+	follower := NewMembers(wire("b", "x", 1))
+	target := wire("a", "x", 1)
+	target.Address = address
+	go func() {
+		for ctx.Err() == nil {
+			_ = Peer{members: follower, target: target}.Run(ctx, 0, func(b discovery.Batch) { got <- b })
+		}
+	}()
+	b := <-got
+	assert.Assert(t, b.Full)
+	assert.DeepEqual(t, b.Items, f.full.Items)
+	assert.Equal(t, b.Age, 5*time.Millisecond)
+	f.changes <- discovery.Batch{Revision: 8, Items: []discovery.Item{{Key: "k", Revision: 8, Deleted: true}}}
+	b = <-got
+	for b.Revision != 8 { // a heartbeat may come before
+		b = <-got
+	}
+	assert.Assert(t, b.Items[0].Deleted)
+}
+
+func TestGossipFindsTheOthersFromOneSeed(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	first, err := standin.FreeAddress()
+	assert.NilError(t, err)
+	seeds := func() []string { return []string{first} }
+	var fleet []*Members
+	for i := range 4 {
+		w := wire(fmt.Sprintf("m%d", i), "x", 1)
+		w.GossipAddress = first
+		if i > 0 {
+			w.GossipAddress, err = standin.FreeAddress()
+			assert.NilError(t, err)
+		}
+		m := NewMembers(w)
+		fleet = append(fleet, m)
+		go func() { _ = NewGossip(m, w.GossipAddress, seeds).Serve(ctx) }()
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, m := range fleet {
+			if m.Live(time.Now()) != len(fleet) {
+				return poll.Continue("%s knows %d", m.self.Id, m.Live(time.Now()))
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second))
+}
+
+func TestUpdateThatCannotBeUnpackedIsAnError(t *testing.T) {
+	_, err := unpack(&fleetwire.Update{Packed: []byte("junk")})
+	assert.ErrorContains(t, err, "decompress items")
+}
--- /dev/null
+++ b/internal/placement/world_test.go
@@ -0,0 +1,177 @@
+package placement
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+)
+
+// world is a small event simulation of one service: servers with slots whose speed
+// is drawn anew every redraw, and calls that arrive at random. It has no network;
+// asking a server costs no time.
+type world struct {
+	rng     *rand.Rand
+	servers []*simServer
+	events  events
+	now     time.Duration
+
+	slots            int
+	work             time.Duration
+	knee             float64 // times longer when nearly full
+	slowShare        float64
+	slowFactor       float64
+	redraw           time.Duration
+	objective, limit time.Duration
+	result           tally
+}
+
+type simServer struct {
+	running int
+	queue   []*simCall
+	slow    float64
+}
+
+type simCall struct {
+	arrived time.Duration
+	server  *simServer
+}
+
+type tally struct{ asked, inAim, late, refused int }
+
+func (t tally) share() float64 { return float64(t.inAim) / float64(t.asked) }
+
+type event struct {
+	at time.Duration
+	do func()
+}
+
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at < e[j].at }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+func newWorld(seed uint64) *world {
+	const servers = 8
+	w := &world{
+		rng: rand.New(rand.NewPCG(seed, 1)), slots: 3, work: 60 * time.Millisecond, knee: 1.7,
+		slowShare: 0.33, slowFactor: 7, redraw: 500 * time.Millisecond,
+		objective: 200 * time.Millisecond, limit: 500 * time.Millisecond,
+	}
+	for range servers {
+		w.servers = append(w.servers, &simServer{slow: 1})
+	}
+	return w
+}
+
+func (w *world) after(d time.Duration, do func()) { heap.Push(&w.events, event{w.now + d, do}) }
+
+// run lets calls arrive at a rate a second for a time; choose sends each of them.
+func (w *world) run(perSecond float64, length time.Duration, choose func(*simCall)) tally {
+	var draw, arrive func()
+	draw = func() {
+		for _, s := range w.servers {
+			s.slow = 1
+			if w.rng.Float64() < w.slowShare {
+				s.slow = w.slowFactor
+			}
+		}
+		w.after(w.redraw, draw)
+	}
+	arrive = func() {
+		w.result.asked++
+		choose(&simCall{arrived: w.now})
+		w.after(time.Duration(w.rng.ExpFloat64()/perSecond*float64(time.Second)), arrive)
+	}
+	draw()
+	arrive()
+	for w.events[0].at < length {
+		e := heap.Pop(&w.events).(event)
+		w.now = e.at
+		e.do()
+	}
+	return w.result
+}
+
+// send gives a call to a server, which runs it at once or queues it.
+func (w *world) send(c *simCall, s *simServer) {
+	c.server = s
+	if s.running >= w.slots {
+		s.queue = append(s.queue, c)
+		return
+	}
+	w.start(c, s)
+}
+
+func (w *world) start(c *simCall, s *simServer) {
+	s.running++
+	took := float64(w.work) * s.slow * (0.7 + 0.6*w.rng.Float64())
+	if float64(s.running) > crowdedShare*float64(w.slots) {
+		took *= w.knee
+	}
+	w.after(time.Duration(took), func() { w.end(c, s) })
+}
+
+func (w *world) end(c *simCall, s *simServer) {
+	s.running--
+	switch took := w.now - c.arrived; {
+	case took <= w.objective:
+		w.result.inAim++
+	case took <= w.limit:
+		w.result.late++
+	}
+	if len(s.queue) > 0 {
+		next := s.queue[0]
+		s.queue = s.queue[1:]
+		w.start(next, s)
+	}
+}
+
+func (w *world) candidate(s *simServer) Candidate {
+	return Candidate{Running: s.running, Waiting: len(s.queue), Slots: w.slots, Slowness: s.slow}
+}
+
+func (w *world) demand(c *simCall) Demand {
+	held := w.now - c.arrived
+	return Demand{Work: w.work, Crowding: w.knee, Objective: max(w.objective-held, time.Millisecond), Left: w.limit - held}
+}
+
+// twoChoices is the baseline: of two servers the one with fewer calls, without
+// knowledge of their speed, and never a refusal.
+func (w *world) twoChoices(c *simCall) {
+	a, b := w.servers[w.rng.IntN(len(w.servers))], w.servers[w.rng.IntN(len(w.servers))]
+	if b.running+len(b.queue) < a.running+len(a.queue) {
+		a = b
+	}
+	w.send(c, a)
+}
+
+// policy asks servers two at a time until one is good, and follows Decide.
+func (w *world) policy(c *simCall) {
+	demand := w.demand(c)
+	var candidates []Candidate
+	var asked []*simServer
+	for _, i := range w.rng.Perm(len(w.servers))[:min(8, len(w.servers))] {
+		asked = append(asked, w.servers[i])
+		candidates = append(candidates, w.candidate(w.servers[i]))
+		if len(asked)%2 == 0 && candidates[Best(candidates, demand)].Good(demand) {
+			break
+		}
+	}
+	best := Best(candidates, demand)
+	switch Decide(&candidates[best], demand, w.now-c.arrived, w.objective) {
+	case Send:
+		w.send(c, asked[best])
+	case Wait:
+		w.after(8*time.Millisecond, func() { w.policy(c) })
+	default:
+		w.result.refused++
+	}
+}
