--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -308,6 +308,7 @@
 	if e.session == snapshotSession {
 		if !f.state.Known() {
 			f.apply(e.batch, now)
+			f.resumable = true
 		}
 		return
 	}
