--- a/Makefile
+++ b/Makefile
@@ -65,3 +65,22 @@
 			go test -run '^$$' -fuzz "^$$target\$$" -fuzztime $(FUZZTIME) $$pkg || exit 1; \
 		done; \
 	done
+
+.PHONY: soak soak-defects
+
+SEED ?=
+MINUTES ?=
+# Seeds that are run in CI; those that ever failed are listed in proof/soak/seeds.txt.
+SOAK_SECONDS := 8
+
+# Runs the fault soak: one seed, or fresh seeds for some minutes, or a short run.
+soak: build
+	$(BIN)/soak --seconds $(SOAK_SECONDS) $(if $(SEED),--seed $(SEED),$(if $(SHORT),--seed 1 $(shell sed -n 's/^\([0-9][0-9]*\).*/--seed \1/p' proof/soak/seeds.txt),--runs $(if $(MINUTES),$(shell expr $(MINUTES) '*' 3),10)))
+
+# Shows that the soak finds each deliberate defect: every line must end in violations.
+soak-defects:
+	go build -tags defects -o $(BIN)/defects/ ./cmd/baobabstack
+	@for defect in gateway-resend-unsafe gateway-refuse-unknown gateway-ignore-leaving gateway-pass-cut-answers; do \
+		echo "== $$defect"; \
+		if $(BIN)/soak --binary $(BIN)/defects/baobabstack --defect $$defect --seconds 25 --seed 1 --seed 2 | grep -E '^(seed|VIOLATION)' | head -3; then :; fi; \
+	done
--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -13,20 +13,25 @@
 type checkCommand struct {
 	streams
 	Settings   string `long:"settings" value-name:"FILE" description:"Settings file (TOML)"`
+	Gateway    string `long:"gateway" value-name:"FILE" description:"Settings file of a gateway (TOML)"`
 	Plans      string `long:"plans" value-name:"FILE" description:"Plans list (TOML)"`
 	Allowances string `long:"allowances" value-name:"FILE" description:"Allowances list (TOML)"`
 }
 
 // Execute checks the files that are named.
 func (c *checkCommand) Execute([]string) error {
-	if c.Settings == "" && c.Plans == "" && c.Allowances == "" {
-		return &flags.Error{Type: flags.ErrRequired, Message: "name at least one of --settings, --plans and --allowances"}
+	if c.Settings == "" && c.Gateway == "" && c.Plans == "" && c.Allowances == "" {
+		return &flags.Error{Type: flags.ErrRequired, Message: "name at least one of --settings, --gateway, --plans and --allowances"}
 	}
 	var all []error
 	if c.Settings != "" {
 		_, faults := settings.Load(c.Settings)
 		all = append(all, faults...)
 	}
+	if c.Gateway != "" {
+		_, faults := settings.LoadGateway(c.Gateway)
+		all = append(all, faults...)
+	}
 	all = append(all, c.checkLists()...)
 	return c.faults(all)
 }
--- a/internal/cli/check_test.go
+++ b/internal/cli/check_test.go
@@ -114,3 +114,11 @@
 	assert.Equal(t, lines, "")
 	assert.Equal(t, status, exitOK)
 }
+
+func TestCheckOfAGatewaysSettings(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "gateway.toml")
+	assert.NilError(t, os.WriteFile(file, []byte("[entry]\nid = \"\"\n"), 0o600))
+	var out, errOut bytes.Buffer
+	assert.Equal(t, Run([]string{"check", "--gateway", file}, &out, &errOut), exitBadInput)
+	assert.Assert(t, strings.Contains(errOut.String(), file+":2: entry.id: is missing; give the VM's id"), errOut.String())
+}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/baobabstack/baobabstack/internal/defect"
 	"github.com/baobabstack/baobabstack/internal/placement"
 	"github.com/baobabstack/baobabstack/internal/routing"
 	"github.com/baobabstack/baobabstack/internal/upstream"
@@ -92,7 +93,7 @@
 	}
 	s.note(&r)
 	again := s.sends < s.route.Attempts && ctx.Err() == nil
-	if again && (s.route.Idempotent || r.Certainty == upstream.NotRun) {
+	if again && (s.route.Idempotent || r.Certainty == upstream.NotRun || defect.On("gateway-resend-unsafe")) {
 		return answer{}, false
 	}
 	return s.giveUp("attempts"), true
@@ -116,6 +117,8 @@
 	switch {
 	case s.last != nil:
 		return s.deliver(s.last)
+	case s.ran && defect.On("gateway-refuse-unknown"):
+		return answer{status: http.StatusServiceUnavailable, reason: reason}
 	case s.ran && !time.Now().Before(s.deadline):
 		return answer{status: http.StatusGatewayTimeout, reason: "timeout"}
 	case s.ran:
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/baobabstack/baobabstack/internal/defect"
 	"github.com/baobabstack/baobabstack/internal/discovery"
 	"github.com/baobabstack/baobabstack/internal/placement"
 	"github.com/baobabstack/baobabstack/internal/routing"
@@ -76,7 +77,7 @@
 		}
 		t := r.target(info, configured, now)
 		next[info.ID] = t
-		if info.Leaving {
+		if info.Leaving && !defect.On("gateway-ignore-leaving") {
 			continue
 		}
 		svc := s.services[info.Service]
--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -20,6 +20,8 @@
 
 	mu       sync.Mutex
 	refusing bool
+	delay    time.Duration
+	oneWay   bool
 	conns    map[*relayed]bool
 }
 
@@ -50,6 +52,29 @@
 // Heal passes new connections on again.
 func (r *Relay) Heal() { r.setRefusing(false) }
 
+// Delay holds each piece of data back for a time; 0 ends that.
+func (r *Relay) Delay(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay = d
+}
+
+// OneWay swallows what the target sends, or ends that.
+func (r *Relay) OneWay(on bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.oneWay = on
+}
+
+// hold waits as Delay says and reports whether a piece of data is passed on.
+func (r *Relay) hold(fromTarget bool) bool {
+	r.mu.Lock()
+	delay, swallow := r.delay, r.oneWay && fromTarget
+	r.mu.Unlock()
+	time.Sleep(delay)
+	return !swallow
+}
+
 // Silence swallows the bytes of all open connections for good; new ones work.
 func (r *Relay) Silence() {
 	r.each(func(c *relayed) {
@@ -120,8 +145,8 @@
 		return
 	}
 	var both sync.WaitGroup
-	both.Go(func() { c.copy(out, in) })
-	both.Go(func() { c.copy(in, out) })
+	both.Go(func() { c.copy(out, in, func() bool { return r.hold(false) }) })
+	both.Go(func() { c.copy(in, out, func() bool { return r.hold(true) }) })
 	both.Wait()
 	r.mu.Lock()
 	delete(r.conns, c)
@@ -130,12 +155,12 @@
 
 // copy passes bytes on until one side closes; the end is not passed on once the
 // connection is silent.
-func (c *relayed) copy(to io.Writer, from io.Reader) {
+func (c *relayed) copy(to io.Writer, from io.Reader, pass func() bool) {
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
 		silent := c.isSilent()
-		if n > 0 && !silent {
+		if n > 0 && !silent && pass() {
 			if _, err := to.Write(buffer[:n]); err != nil {
 				c.close()
 				return
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/baobabstack/baobabstack/internal/defect"
 )
 
 const (
@@ -136,7 +138,10 @@
 	}
 	if res.ContentLength >= 0 {
 		body := make([]byte, res.ContentLength)
-		_, err := io.ReadFull(res.Body, body)
+		n, err := io.ReadFull(res.Body, body)
+		if defect.On("gateway-pass-cut-answers") {
+			return body[:n], nil
+		}
 		return body, errors.Wrap(err, "read the answer's body")
 	}
 	body, err := io.ReadAll(io.LimitReader(res.Body, int64(limit)+1))
--- /dev/null
+++ b/proof/soak/fleet.go
@@ -0,0 +1,198 @@
+package soak
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/baobabstack/baobabstack/internal/standin"
+	"github.com/baobabstack/baobabstack/platform/fake"
+)
+
+// gatewayNode is one gateway: a process that is started again when it ends.
+type gatewayNode struct {
+	id       string
+	host     string
+	settings string
+	log      string
+	store    *standin.Relay // its own way to the store
+
+	mu      sync.Mutex
+	process *exec.Cmd
+	started time.Time
+	calm    time.Time // no fault has touched it since
+	closing bool
+}
+
+const (
+	callersPort = 7001
+	readyPort   = 7002
+	fleetPort   = 7003
+	gossipPort  = 7004
+	metricsPort = 7005
+)
+
+func (g *gatewayNode) callers() string { return fmt.Sprintf("%s:%d", g.host, callersPort) }
+
+// serverNode is one server behind a relay.
+type serverNode struct {
+	server  *fake.Server
+	relay   *standin.Relay
+	service string
+	mu      sync.Mutex
+	left    time.Time // when the store took that it leaves
+	calm    time.Time
+}
+
+// settingsText is a gateway's settings file.
+const settingsText = `
+[entry]
+id = %[1]q
+data_centre = %[2]q
+[listen]
+callers = "%[3]s:7001"
+ready = "%[3]s:7002"
+ready_path = "/ready"
+fleet = "%[3]s:7003"
+gossip = "%[3]s:7004"
+metrics = "%[3]s:7005"
+metrics_path = "/metrics"
+[fleet]
+seeds = [%[4]s]
+[store]
+address = %[5]q
+[vm]
+memory_mb = 200
+link_mbps = 100
+[budgets]
+retry_ratio = 0.2
+retry_slack = %[6]d
+retry_window = "10s"
+probes_per_second = %[7]d
+[stop]
+grace = "6s"
+`
+
+// startGateways writes the settings of all gateways and starts them.
+func (s *Soak) startGateways() error {
+	base := os.Getpid()
+	var hosts, seeds []string
+	for i := range s.options.Gateways {
+		hosts = append(hosts, fmt.Sprintf("127.%d.%d.%d", 100+i, base>>8&0xff, base&0xff))
+		if i < 3 {
+			seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("%s:%d", hosts[i], fleetPort)))
+		}
+	}
+	for i, host := range hosts {
+		relay, err := standin.NewRelay(s.store.Address())
+		if err != nil {
+			return err
+		}
+		g := &gatewayNode{id: fmt.Sprintf("g%d", i), host: host, store: relay, calm: time.Now()}
+		g.settings = filepath.Join(s.dir, g.id+".toml")
+		g.log = filepath.Join(s.dir, g.id+".log")
+		text := fmt.Sprintf(settingsText, g.id, zone(i), host, strings.Join(seeds, ", "), relay.Address, retrySlack, probesPerSecond)
+		if err := os.WriteFile(g.settings, []byte(text), 0o600); err != nil {
+			return errors.Wrap(err, "write settings")
+		}
+		s.gateways = append(s.gateways, g)
+		if err := g.start(s.options); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func zone(i int) string { return fmt.Sprintf("z%d", i%2) }
+
+// start starts the process, and again each time it ends, as a platform does.
+func (g *gatewayNode) start(o Options) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closing {
+		return nil
+	}
+	out, err := os.OpenFile(g.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return errors.Wrap(err, "open the log")
+	}
+	cmd := exec.Command(o.Binary, "gateway", "--settings", g.settings) //nolint:gosec // the program under test
+	cmd.Stdout, cmd.Stderr = out, out
+	if o.Defect != "" {
+		cmd.Env = append(os.Environ(), "BAOBAB_DEFECT="+o.Defect)
+	}
+	if err := cmd.Start(); err != nil {
+		return errors.Wrapf(err, "start %s", o.Binary)
+	}
+	g.process, g.started, g.calm = cmd, time.Now(), time.Now()
+	go func() {
+		_ = cmd.Wait() // ended by a fault, or by itself, which the log tells
+		_ = out.Close()
+		time.Sleep(restartPause)
+		_ = g.start(o)
+	}()
+	return nil
+}
+
+// restartPause is how long a platform takes to start a process again.
+const restartPause = 300 * time.Millisecond
+
+// signal sends a signal to the gateway's present process.
+func (g *gatewayNode) signal(sig os.Signal) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.calm = time.Now()
+	_ = g.process.Process.Signal(sig) // it may just have ended
+}
+
+// touched notes a fault at the gateway.
+func (g *gatewayNode) touched() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.calm = time.Now()
+}
+
+// since returns when the present process started and since when no fault touched
+// it.
+func (g *gatewayNode) since() (started, calm time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.started, g.calm
+}
+
+func (g *gatewayNode) close() {
+	g.mu.Lock()
+	g.closing = true
+	g.mu.Unlock()
+	g.signal(syscall.SIGCONT)
+	g.signal(syscall.SIGKILL)
+	g.store.Close()
+}
+
+// startServer starts a server behind a relay and registers it.
+func (s *Soak) startServer(service string) error {
+	s.serial++
+	o := fake.ServerOptions{ID: fmt.Sprintf("i-%d", s.serial), Service: service, Zone: zone(s.serial), Slots: 4, Queue: 4, Work: workTime}
+	server, err := fake.NewServer("127.0.0.1:0", o)
+	if err != nil {
+		return errors.Wrap(err, "start a server")
+	}
+	relay, err := standin.NewRelay(server.Address())
+	if err != nil {
+		return err
+	}
+	server.Advertise(relay.Address)
+	n := &serverNode{server: server, relay: relay, service: service, calm: time.Now()}
+	s.mu.Lock()
+	s.servers = append(s.servers, n)
+	s.mu.Unlock()
+	s.store.Put(server.Entry())
+	return nil
+}
--- /dev/null
+++ b/proof/soak/soak.go
@@ -0,0 +1,309 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/baobabstack/baobabstack/platform/fake"
+)
+
+// Options configures a run.
+type Options struct {
+	// Binary is the program under test.
+	Binary string
+	// Seed draws the faults.
+	Seed uint64
+	// Length is how long faults are injected.
+	Length time.Duration
+	// Gateways and Callers are how many of each run.
+	Gateways, Callers int
+	// Defect names a deliberate defect to switch on; the binary must have been
+	// built with the tag defects.
+	Defect string
+}
+
+const (
+	retrySlack      = 40
+	probesPerSecond = 200
+	workTime        = 20 * time.Millisecond
+	// drainBound and configBound are the platform's bounds for leaving servers and
+	// changed configurations; contact is how long nothing may have been disturbed
+	// for them to hold.
+	drainBound  = 2 * time.Second
+	configBound = 2 * time.Second
+	contact     = 3 * time.Second
+	// recovery is the platform's bound after the last fault.
+	recovery = 15 * time.Second
+	// recoveryChecks requests are sent then, of which nine in ten must be served.
+	recoveryChecks = 50
+)
+
+// Soak is one run.
+type Soak struct {
+	options  Options
+	dir      string
+	store    *fake.Store
+	gateways []*gatewayNode
+	serial   int
+	begin    time.Time
+
+	mu          sync.Mutex
+	servers     []*serverNode
+	claims      []claim
+	history     []string
+	violations  []string
+	version     int
+	versionAt   time.Time
+	storeCalmAt time.Time
+}
+
+// Run runs a soak and writes what it found. It returns the number of violations.
+func Run(o Options, out io.Writer) (int, error) {
+	dir, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		return 0, errors.Wrap(err, "make a directory for logs")
+	}
+	s := &Soak{options: o, dir: dir, store: fake.NewStore(), begin: time.Now()}
+	defer s.close()
+	s.configure()
+	for range 4 {
+		for _, service := range []string{"look", "book"} {
+			if err := s.startServer(service); err != nil {
+				return 0, err
+			}
+		}
+	}
+	if err := s.startGateways(); err != nil {
+		return 0, err
+	}
+	if !s.served(recovery) {
+		return 0, errors.New("the fleet does not start to serve")
+	}
+	s.play()
+	s.report(out)
+	return len(s.violations), nil
+}
+
+// play runs callers and faults, and then the checks.
+func (s *Soak) play() {
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	for i := range s.options.Callers {
+		running.Go(func() { s.caller(ctx, rand.New(rand.NewPCG(s.options.Seed, uint64(i)+1))) }) //nolint:gosec // not secret
+	}
+	for _, g := range s.gateways {
+		running.Go(func() { s.watchVersions(ctx, g) })
+	}
+	running.Go(func() { s.watchLeaving(ctx) })
+	s.inject(rand.New(rand.NewPCG(s.options.Seed, 0)), s.options.Length) //nolint:gosec // not secret
+	if !s.served(recovery) {
+		s.violation("", "requests are not served %s after the last fault", recovery)
+	}
+	time.Sleep(contact + configBound)
+	cancel()
+	running.Wait()
+	time.Sleep(callerDeadline) // servers end what still runs
+	s.checkRuns()
+}
+
+// served waits until nine in ten requests are served.
+func (s *Soak) served(bound time.Duration) bool {
+	client := &http.Client{Timeout: callerDeadline, Transport: &http.Transport{DisableKeepAlives: true}}
+	for end := time.Now().Add(bound); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		good := 0
+		for i := range recoveryChecks {
+			c := claim{id: fmt.Sprintf("s%d", serial.Add(1)), gateway: s.gateways[i%len(s.gateways)]}
+			if s.request(client, c, "look") == http.StatusOK {
+				good++
+			}
+		}
+		if good >= recoveryChecks*9/10 {
+			return true
+		}
+	}
+	return false
+}
+
+// checkRuns compares what callers were told with what servers ran.
+func (s *Soak) checkRuns() {
+	runs := make(map[string]int)
+	arrivals, checks := make(map[string]int), 0
+	for _, n := range s.serverList() {
+		for _, r := range n.server.Runs() {
+			runs[r.CallID]++
+		}
+		asked, arrived := n.server.Counts()
+		checks += asked
+		arrivals[n.service] += arrived
+	}
+	requests := make(map[string]int)
+	for _, c := range s.claims {
+		service := "look"
+		if c.unsafe {
+			service = "book"
+		}
+		requests[service]++
+		switch n := runs[c.id]; {
+		case c.unsafe && n > 1:
+			s.violation(c.id, "an unsafe request ran %d times", n)
+		case n > 2:
+			s.violation(c.id, "a request ran %d times, 2 attempts are allowed", n)
+		case n > 0 && c.unsafe && (c.status == http.StatusServiceUnavailable || c.status == http.StatusTooManyRequests):
+			s.violation(c.id, "an unsafe request was said not to have run, with status %d, and ran", c.status)
+		}
+	}
+	windows := 1 + time.Since(s.begin).Seconds()/10
+	if extra := arrivals["book"] - requests["book"]; float64(extra) > 0.2*float64(requests["book"])+retrySlack*windows {
+		s.violation("", "%d extra sends beside %d unsafe requests", extra, requests["book"])
+	}
+	if rate := float64(checks) / time.Since(s.begin).Seconds() / float64(len(s.serverList())); rate > probesPerSecond {
+		s.violation("", "%.0f health checks a server and second, %d are allowed", rate, probesPerSecond)
+	}
+	s.note(fmt.Sprintf("%d requests, %d health checks, %d calls to the store", len(s.claims), checks, s.store.Calls()))
+}
+
+// watchLeaving checks that leaving servers get no new work.
+func (s *Soak) watchLeaving(ctx context.Context) {
+	for ctx.Err() == nil {
+		time.Sleep(100 * time.Millisecond)
+		calm := s.storeCalm()
+		for _, g := range s.gateways {
+			if _, at := g.since(); at.After(calm) {
+				calm = at
+			}
+		}
+		for _, n := range s.serverList() {
+			n.mu.Lock()
+			left := n.left
+			n.mu.Unlock()
+			last := n.server.LastCall()
+			if !left.IsZero() && last.Sub(left) > drainBound && last.Sub(calm) > contact+drainBound {
+				s.violation("", "a server of %s got work %s after it began to leave", n.service, last.Sub(left).Round(time.Millisecond))
+			}
+		}
+	}
+}
+
+// configure writes the next version of the configuration: a route for the host vn,
+// and for the one before.
+func (s *Soak) configure() {
+	s.mu.Lock()
+	s.version++
+	n := s.version
+	s.versionAt = time.Now()
+	s.mu.Unlock()
+	s.store.Configure(n, []fake.Route{
+		{Host: "look", Service: "look", Safe: true, Timeout: time.Second},
+		{Host: "book", Service: "book", Timeout: time.Second},
+		{Host: fmt.Sprintf("v%d", n), Service: "look", Safe: true, Timeout: time.Second},
+		{Host: fmt.Sprintf("v%d", n-1), Service: "look", Safe: true, Timeout: time.Second},
+	})
+}
+
+func (s *Soak) configured() (int, time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version, s.versionAt
+}
+
+func (s *Soak) storeTouched() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.storeCalmAt = time.Now()
+}
+
+func (s *Soak) storeCalm() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.storeCalmAt
+}
+
+// calmFor reports whether a bound holds by now: it runs from a moment, and nothing
+// may have been disturbed since the others plus contact.
+func (s *Soak) calmFor(bound time.Duration, from time.Time, disturbed ...time.Time) bool {
+	for _, at := range disturbed {
+		if at = at.Add(contact); at.After(from) {
+			from = at
+		}
+	}
+	return time.Since(from) > bound
+}
+
+func (s *Soak) claimed(c claim) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.claims = append(s.claims, c)
+}
+
+func (s *Soak) serverList() []*serverNode {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]*serverNode(nil), s.servers...)
+}
+
+// violation notes a broken promise, with the log lines of the request.
+func (s *Soak) violation(id, format string, args ...any) {
+	text := fmt.Sprintf("%7.3f s  %s %s", time.Since(s.begin).Seconds(), id, fmt.Sprintf(format, args...))
+	for _, line := range s.logLines(id) {
+		text += "\n    " + line
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.violations = append(s.violations, text)
+}
+
+func (s *Soak) logLines(id string) []string {
+	if id == "" {
+		return nil
+	}
+	var lines []string
+	for _, g := range s.gateways {
+		f, err := os.Open(g.log)
+		if err != nil {
+			continue // it has not started yet
+		}
+		for scanner := bufio.NewScanner(f); scanner.Scan(); {
+			if strings.Contains(scanner.Text(), "id="+id+" ") {
+				lines = append(lines, g.id+": "+scanner.Text())
+			}
+		}
+		_ = f.Close()
+	}
+	return lines
+}
+
+func (s *Soak) report(out io.Writer) {
+	fmt.Fprintf(out, "seed %d: %d violations; %s\n", s.options.Seed, len(s.violations), s.history[len(s.history)-1])
+	if len(s.violations) == 0 {
+		_ = os.RemoveAll(s.dir)
+		return
+	}
+	for _, h := range s.history {
+		fmt.Fprintln(out, "  ", h)
+	}
+	for _, v := range s.violations[:min(len(s.violations), 10)] {
+		fmt.Fprintln(out, "VIOLATION", v)
+	}
+	fmt.Fprintln(out, "logs:", s.dir)
+}
+
+func (s *Soak) close() {
+	for _, g := range s.gateways {
+		g.close()
+	}
+	for _, n := range s.serverList() {
+		n.server.Close()
+		n.relay.Close()
+	}
+	s.store.Close()
+}
