Ask far servers also where the near ones are many

Cause: with eight servers or more in the own data centre only those were asked, so a call whose data centre is full never went to another (test: 0 of 5 calls left it).

Ruled out: a larger number of servers asked, since health checks are budgeted.

--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -18,7 +18,10 @@
 	// favourites is how many servers of each data centre are asked first. With a
 	// third of the servers slow, all of them are slow once in some hundred times.
 	favourites = 6
-	// askMost is how many servers are asked for one send.
+	// askNear is how many servers of the own data centre are asked for one send, and
+	// askMost how many in all, so that a call whose data centre is full finds room
+	// elsewhere.
+	askNear = 6
 	askMost = 8
 	// askTimeout bounds a health check: a few ms to and from another data centre,
 	// and pauses of small VMs.
@@ -85,7 +88,7 @@
 		return d.guess(ctx, svc, demand, tried, now)
 	}
 	order := usable(svc.near, tried, demand, now)
-	order = append(order, usable(svc.far, tried, demand, now)...)
+	order = append(order[:min(len(order), askNear)], usable(svc.far, tried, demand, now)...)
 	order = order[:min(len(order), askMost)]
 	var best *offer
 	for len(order) > 0 && (best == nil || !best.candidate.Good(demand)) {
