Read both kinds of settings by one function, and drop what nothing used

Change: load and parse take the type and its check; the unused parts are gone.

Ruled out: joining the two relays' accept loops, the generated messages and the fleets' protocols, which are alike in shape only.

Lint is clean; the tests of settings, upstream, cli and platform pass unchanged.

Conclusion: behaviour is unchanged.

--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -21,7 +21,6 @@
 type snapshot struct {
 	table    *routing.Table
 	services map[string]*service
-	revision uint64
 }
 
 // service is a service with its servers.
@@ -65,7 +64,7 @@
 
 // build returns a snapshot of a view. Servers that stay keep their connections.
 func (r *registry) build(v discovery.View, now time.Time) *snapshot {
-	s := &snapshot{table: v.Table, services: make(map[string]*service), revision: v.Revision}
+	s := &snapshot{table: v.Table, services: make(map[string]*service)}
 	for name := range v.Table.Services {
 		s.services[name] = &service{name: name, state: r.state(name)}
 	}
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -26,7 +26,6 @@
 	failing float64
 	far     bool
 	hedge   bool
-	at      time.Time
 	outcome string
 }
 
@@ -37,7 +36,7 @@
 	c := o.candidate
 	t.sends = append(t.sends, sendTrace{
 		server: o.target.info.ID, running: c.Running + c.Extra, waiting: c.Waiting, slots: c.Slots, slow: c.Slowness,
-		loadAge: now.Sub(o.answeredAt), failing: c.Failing, far: c.Far, at: now,
+		loadAge: now.Sub(o.answeredAt), failing: c.Failing, far: c.Far,
 		outcome: "abandoned",
 	})
 	return len(t.sends) - 1
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -1,15 +1,6 @@
 package settings
 
-import (
-	"bytes"
-	"fmt"
-	"os"
-
-	"github.com/pelletier/go-toml/v2"
-
-	"github.com/baobabstack/baobabstack/internal/fault"
-	"github.com/baobabstack/baobabstack/internal/lists"
-)
+import "fmt"
 
 // Gateway is the static configuration of a gateway.
 type Gateway struct {
@@ -88,27 +79,12 @@
 
 // LoadGateway reads and checks a gateway's settings file. All faults found are
 // returned; each names file, line, key and remedy.
-func LoadGateway(file string) (*Gateway, []error) {
-	data, err := os.ReadFile(file)
-	if err != nil {
-		return nil, []error{fault.Wrap(err, fault.Settings, file, "cannot be read", "give the path of a settings file")}
-	}
-	return ParseGateway(file, data)
-}
+func LoadGateway(file string) (*Gateway, []error) { return load(file, ParseGateway) }
 
 // ParseGateway checks the text of a gateway's settings file. The file name is
 // used in faults only.
 func ParseGateway(file string, data []byte) (*Gateway, []error) {
-	s := &Gateway{Log: Log{Level: "info"}}
-	if err := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields().Decode(s); err != nil {
-		return nil, lists.TOMLFaults(fault.Settings, file, err)
-	}
-	c := checker{place: lists.NewPlace(fault.Settings, file, data)}
-	c.checkGateway(s)
-	if len(c.faults) > 0 {
-		return nil, c.faults
-	}
-	return s, nil
+	return parse(file, data, &Gateway{Log: Log{Level: "info"}}, (*checker).checkGateway)
 }
 
 func (c *checker) checkGateway(s *Gateway) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -148,12 +148,15 @@
 
 // Load reads and checks a settings file. All faults found are returned; each
 // names file, line, key and remedy.
-func Load(file string) (*Settings, []error) {
+func Load(file string) (*Settings, []error) { return load(file, Parse) }
+
+// load reads a file and parses it.
+func load[T any](file string, parse func(string, []byte) (*T, []error)) (*T, []error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
 		return nil, []error{fault.Wrap(err, fault.Settings, file, "cannot be read", "give the path of a settings file")}
 	}
-	return Parse(file, data)
+	return parse(file, data)
 }
 
 // Parse checks the text of a settings file. The file name is used in faults only.
@@ -166,16 +169,20 @@
 		Stop: Stop{LameDuck: Duration{defaultLameDuck}, Drain: Duration{defaultDrain}},
 		Log:  Log{Level: "info"},
 	}
-	decoder := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields()
-	if err := decoder.Decode(s); err != nil {
+	return parse(file, data, s, (*checker).check)
+}
+
+// parse decodes the text into settings that hold the defaults, and checks them.
+func parse[T any](file string, data []byte, into *T, check func(*checker, *T)) (*T, []error) {
+	if err := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields().Decode(into); err != nil {
 		return nil, lists.TOMLFaults(fault.Settings, file, err)
 	}
 	c := checker{place: lists.NewPlace(fault.Settings, file, data)}
-	c.check(s)
+	check(&c, into)
 	if len(c.faults) > 0 {
 		return nil, c.faults
 	}
-	return s, nil
+	return into, nil
 }
 
 type checker struct {
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -165,9 +165,6 @@
 	}
 }
 
-// Server returns the server that the lease is for.
-func (l *Lease) Server() *Server { return l.server }
-
 // Certainty says what is known of a call at a server.
 type Certainty int
 
