Judge the restarted entry by its own log

The test searched the log of all three entries from the moment of the kill on. Since lines are written by a goroutine every 50 ms, lines of the other entries about version 1, logged before the kill, could arrive after it.

Ruled out: the restarted entry's own lists.

Change: an entry may have a log of its own, and the test reads only the restarted entry's. It now also waits for the line of version 2, so that a line of version 1, which would precede it, can't still be under way. The check is stricter by that.

--- a/internal/standin/cluster.go
+++ b/internal/standin/cluster.go
@@ -28,6 +28,8 @@
 	TracingEndpoint string
 	// CallersSettings holds further lines of the settings' [callers] table.
 	CallersSettings string
+	// Log takes the log from the next start on; the fleet's if nil.
+	Log io.Writer
 
 	cmd *exec.Cmd
 }
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -244,10 +245,7 @@
 
 // StartEntry starts an entry's process, again after it has ended.
 func (f *Fleet) StartEntry(e *EntryProcess) error {
-	log := f.options.Log
-	if log == nil {
-		log = io.Discard
-	}
+	log := cmp.Or[io.Writer](e.Log, f.options.Log, io.Discard)
 	return e.Start(f.options.Binary, f.dir, f.platforms[e.ID], log)
 }
 
--- a/proof/configuration_test.go
+++ b/proof/configuration_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -192,14 +193,19 @@
 	restarted := fleet.Entries[2]
 	assert.NilError(t, restarted.Signal(syscall.SIGKILL))
 	_ = restarted.Wait()
-	before := len(log.String())
+	// Lines of other entries may still be under way, so this one has a log of its own.
+	own := &syncBuffer{}
+	restarted.Log = io.MultiWriter(log, own)
 	assert.NilError(t, fleet.StartEntry(restarted))
 	assert.NilError(t, restarted.WaitReady(ctx))
 	for _, name := range lists.Names() {
 		waitVersion(ctx, t, name, 2, restarted)
+		eventually(ctx, t, fmt.Sprintf("%s version 2 in the log", name), func() bool {
+			return strings.Contains(own.String(), fmt.Sprintf("%s version 2 ", name))
+		})
 		// The VM list applies at once, because it names the peers to ask.
 		if name != lists.VMsName {
-			assert.Assert(t, !strings.Contains(log.String()[before:], fmt.Sprintf("%s version 1 ", name)), name)
+			assert.Assert(t, !strings.Contains(own.String(), fmt.Sprintf("%s version 1 ", name)), name)
 		}
 	}
 }
