Run the proofs' packages side by side, and repeat less in a short run

Ruled out: parallel tests within one process, which would share the stand-ins' counters of open connections; and leaving tests out of the short list.

Change: prove splits the tests of each package into runs of ten and has three runs at a time. Bounds and checks are unchanged, and `make test`, `make prove` and `make mutants` run as much as before. errgroup, already a transitive dependency, bounds the runs.

--- a/cmd/prove/main_test.go
+++ b/cmd/prove/main_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"os"
 	"testing"
 
@@ -37,3 +38,28 @@
 		})
 	}
 }
+
+func TestRunsHoldEachTestOnceAndTheLargestPackageFirst(t *testing.T) {
+	var proofs []proofEntry
+	add := func(pkg, name string, short bool) {
+		proofs = append(proofs, proofEntry{Package: pkg, Test: name, Short: short})
+	}
+	add("./small", "TestA", true)
+	for i := range testsPerRun + 1 {
+		add("./large", fmt.Sprintf("Test%d", i), true)
+	}
+	add("./large", "Test0", true)
+	add("./large", "TestLong", false)
+	proofs = append(proofs, proofEntry{Reason: "not proved"})
+
+	var sizes []string
+	for _, run := range testRuns(proofs, true) {
+		sizes = append(sizes, fmt.Sprint(run.pkg, " ", len(run.names)))
+	}
+	assert.DeepEqual(t, sizes, []string{fmt.Sprint("./large ", testsPerRun), "./large 1", "./small 1"})
+	all := 0
+	for _, run := range testRuns(proofs, false) {
+		all += len(run.names)
+	}
+	assert.Equal(t, all, testsPerRun+3)
+}
--- a/cmd/prove/run.go
+++ b/cmd/prove/run.go
@@ -1,12 +1,8 @@
 package main
 
 import (
-	"bytes"
 	"cmp"
-	"encoding/json"
 	"fmt"
-	"os"
-	"os/exec"
 	"slices"
 	"strings"
 
@@ -29,24 +25,16 @@
 	return runProofs(proofs, o.Short)
 }
 
-// runProofs runs each package once and prints a line for each proof.
+// runProofs runs each test once and prints a line for each proof.
 func runProofs(proofs []proofEntry, short bool) error {
 	known, err := knownred.Names(knownred.File)
 	if err != nil {
 		return err
 	}
 	red := missingPromises(proofs)
-	tests := make(map[string][]string)
-	for _, p := range proofs {
-		if p.Test != "" && (p.Short || !short) {
-			tests[p.Package] = append(tests[p.Package], p.Test)
-		}
-	}
-	passed := make(map[string]bool)
-	for pkg, names := range tests {
-		if err := goTest(pkg, names, nil, passed); err != nil {
-			return err
-		}
+	passed, err := testAll(proofs, short)
+	if err != nil {
+		return err
 	}
 	for _, p := range proofs {
 		if p.Test != "" && short && !p.Short {
@@ -96,13 +84,14 @@
 			continue
 		}
 		seen[key] = true
-		passed := make(map[string]bool)
+		args := []string{"-tags", "defects"}
 		env := []string{"BAOBAB_DEFECT=" + p.Defect, "BAOBAB_TAGS=defects"}
-		if err := goTest(p.Package, []string{p.Test}, env, passed); err != nil {
+		passed, _, err := goTest(testRun{p.Package, []string{p.Test}}, args, env)
+		if err != nil {
 			return err
 		}
 		verdict := "caught"
-		if passed[p.Package+" "+p.Test] {
+		if slices.Contains(passed, p.Test) {
 			verdict = "RED"
 			survived = append(survived, p.Defect)
 		}
@@ -113,47 +102,3 @@
 	}
 	return nil
 }
-
-type testEvent struct {
-	Action string
-	Test   string
-	Output string
-}
-
-// goTest runs tests of a package and notes those that passed. A test that did
-// not run has not passed.
-func goTest(pkg string, names, env []string, passed map[string]bool) error {
-	args := []string{"test", "-json", "-count=1", "-run", "^(" + strings.Join(names, "|") + ")$"}
-	if len(env) > 0 {
-		args = append(args, "-tags", "defects")
-	}
-	cmd := exec.Command("go", append(args, pkg)...)
-	cmd.Env = append(os.Environ(), env...)
-	out, err := cmd.Output()
-	var exit *exec.ExitError
-	if err != nil && !errors.As(err, &exit) {
-		return errors.WithStack(err)
-	}
-	var failed []string
-	ran := false
-	for line := range bytes.Lines(out) {
-		var e testEvent
-		if json.Unmarshal(line, &e) != nil {
-			continue
-		}
-		ran = ran || e.Test != ""
-		switch e.Action {
-		case "pass":
-			passed[pkg+" "+e.Test] = true
-		case "output":
-			failed = append(failed, e.Output)
-		}
-	}
-	if !ran {
-		return errors.Errorf("%s ran no test: %s", pkg, strings.Join(failed, ""))
-	}
-	if err != nil && len(env) == 0 {
-		fmt.Fprint(os.Stderr, strings.Join(failed, ""))
-	}
-	return nil
-}
--- a/proof/traffic_test.go
+++ b/proof/traffic_test.go
@@ -13,6 +13,14 @@
 	"github.com/baobabstack/baobabstack/internal/standin"
 )
 
+// rounds returns how often a test repeats its load: less often in a short run.
+func rounds(full, short int) int {
+	if testing.Short() {
+		return short
+	}
+	return full
+}
+
 // traffic is a set of callers that call entries until it is stopped.
 type traffic struct {
 	cancel context.CancelFunc
