Enforce the configuration's limits on callers

Cause: the configuration's limits on heads, bodies, header time and idle time were decoded and not used; the listener's own bounds held (32 KB, 64 MB, 10 s, 2 min). Beside that, the timer of a request went on for the next one where each read ended inside a request, so a steady pipeline got 408 in the end.

Ruled out: setting the limits by a call to each connection at a change: the configuration is read at the start of each request and when a connection falls idle, which costs one load of a pointer.

Change: httpserver takes the limits from a function. The head has a timeout of its own; the timer starts anew with each request.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/baobabstack/baobabstack/internal/httpserver"
 	"github.com/baobabstack/baobabstack/internal/logs"
 	"github.com/baobabstack/baobabstack/internal/placement"
 	"github.com/baobabstack/baobabstack/internal/routing"
@@ -32,6 +33,16 @@
 	unknownRetryAfter = 100 * time.Millisecond
 )
 
+// limits returns the configuration's bounds on callers.
+func (h *handler) limits() httpserver.Limits {
+	s := h.current.Load()
+	if s == nil {
+		return httpserver.Limits{}
+	}
+	l := s.table.Limits
+	return httpserver.Limits{HeadBytes: l.MaxHeaderBytes, BodyBytes: l.MaxBodyBytes, HeadTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout}
+}
+
 // ServeHTTP implements http.Handler.
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	received := time.Now()
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -43,13 +43,14 @@
 }
 
 const (
-	// defaultMaxBodyBytes is the platform's largest limit for requests.
+	// defaultMaxBodyBytes bounds bodies if the configuration allows larger ones or
+	// is not known yet.
 	defaultMaxBodyBytes = 64 << 20
 	// bodyShare of the VM's memory may hold bodies; the rest is for connections
 	// and the garbage collector.
 	bodyShare = 0.35
-	// callerIdleTimeout bounds the time between two requests of a caller; it is
-	// above the platform's limit, which callers may use.
+	// callerIdleTimeout bounds the time between two requests of a caller if the
+	// configuration allows more or is not known yet.
 	callerIdleTimeout = 2 * time.Minute
 	// knownFleetAfter is how long after the start the number of members is taken
 	// as it is; until then the fleet is taken for at least defaultFleet.
@@ -94,7 +95,7 @@
 	})
 	front := &frontService{options: httpserver.Options{
 		Name: "callers", Address: s.Listen.Callers, Handler: h, MaxBodyBytes: o.MaxBodyBytes,
-		MemoryBytes: int(bodyShare * float64(s.VM.MemoryMB) * (1 << 20)), IdleTimeout: callerIdleTimeout,
+		MemoryBytes: int(bodyShare * float64(s.VM.MemoryMB) * (1 << 20)), IdleTimeout: callerIdleTimeout, Limits: h.limits,
 	}}
 	stop := &stopper{settings: s.Stop, handler: h, front: front, members: o.Members, log: log}
 
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -96,7 +96,7 @@
 	c.server.busy.Add(-1)
 	c.pending = c.pending[1:]
 	if len(c.pending) == 0 && !c.guard.started() && !c.guard.done {
-		_ = c.nbc.SetReadDeadline(time.Now().Add(c.server.options.IdleTimeout))
+		_ = c.nbc.SetReadDeadline(time.Now().Add(c.server.limits().IdleTimeout))
 	}
 }
 
--- a/internal/httpserver/guard.go
+++ b/internal/httpserver/guard.go
@@ -22,7 +22,9 @@
 type guard struct {
 	parser *nbhttp.Parser
 	part   part
-	head   []byte // of a head that is not whole
+	head   []byte    // of a head that is not whole
+	limits Limits    // in force when the request began
+	began  time.Time // when its first byte came
 	scan   headScanner
 	chunks chunkScanner
 	left   int // bytes of the body with a length
@@ -61,7 +63,7 @@
 		c.guard.left -= n
 		return n, c.passBody(data[:n], c.guard.left == 0)
 	case inChunks:
-		n, whole, r := c.guard.chunks.scan(data, c.server.options.MaxBodyBytes)
+		n, whole, r := c.guard.chunks.scan(data, c.guard.limits.BodyBytes)
 		if r != nil {
 			return 0, r
 		}
@@ -73,7 +75,10 @@
 
 func (c *conn) takeHead(data []byte) (int, *refusal) {
 	g := &c.guard
-	n, whole, r := g.scan.scan(data)
+	if !g.started() {
+		g.limits, g.began = c.server.limits(), time.Now()
+	}
+	n, whole, r := g.scan.scan(data, g.limits.HeadBytes)
 	if r != nil {
 		return 0, r
 	}
@@ -86,7 +91,8 @@
 		head = append(g.head, head...)
 		g.head = nil
 	}
-	f, r := checkHead(head, c.server.options.MaxBodyBytes, maxHeaders)
+	c.stopTimer()
+	f, r := checkHead(head, g.limits.BodyBytes, maxHeaders)
 	if r != nil {
 		return 0, r
 	}
@@ -148,6 +154,7 @@
 		return refusePipeline
 	}
 	g := &c.guard
+	c.stopTimer()
 	c.push(request{body: g.body, close: g.close})
 	g.part, g.body, g.ticket, g.done = inHead, 0, false, g.close
 	return nil
@@ -193,7 +200,8 @@
 
 var ticketName = bytes.ToLower([]byte(call.HeaderTicket))
 
-// watchSender bounds the time that a request takes to arrive.
+// watchSender bounds the time that a request takes to arrive: first that of its
+// head, then that of the whole.
 func (c *conn) watchSender() {
 	if !c.guard.started() || c.guard.done {
 		c.stopTimer()
@@ -204,7 +212,11 @@
 	}
 	_ = c.nbc.SetReadDeadline(time.Now().Add(answerTimeout))
 	var timer *time.Timer
-	timer = time.AfterFunc(c.server.options.RequestTimeout, func() {
+	bound := c.server.options.RequestTimeout
+	if c.guard.part == inHead {
+		bound = c.guard.limits.HeadTimeout
+	}
+	timer = time.AfterFunc(time.Until(c.guard.began.Add(bound)), func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		if c.timer == timer && !c.guard.done {
--- a/internal/httpserver/scan.go
+++ b/internal/httpserver/scan.go
@@ -11,9 +11,9 @@
 
 // scan reads up to the end of the head. It returns the number of bytes that
 // belong to the head and whether the head is whole.
-func (s *headScanner) scan(data []byte) (int, bool, *refusal) {
+func (s *headScanner) scan(data []byte, maxHead int) (int, bool, *refusal) {
 	for i, b := range data {
-		if s.size++; s.size > maxHeadBytes {
+		if s.size++; s.size > maxHead {
 			return 0, false, refuseHeadSize
 		}
 		if (b == '\n') != (s.previous == '\r') && !defect.On("guard-endings") {
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -41,6 +41,8 @@
 	WriteTimeout time.Duration
 	// IdleTimeout bounds the time between two requests on a connection.
 	IdleTimeout time.Duration
+	// Limits returns tighter bounds that hold at the moment; nil if there are none.
+	Limits func() Limits
 	// TLS enables TLS.
 	TLS *tls.Config
 	// Handler answers requests, each in a goroutine of its own. The context of
@@ -190,7 +192,7 @@
 		s.closed(c)
 		return
 	}
-	_ = nbc.SetReadDeadline(time.Now().Add(s.options.IdleTimeout))
+	_ = nbc.SetReadDeadline(time.Now().Add(s.limits().IdleTimeout))
 }
 
 // onData passes on the bytes read from a connection. The engine hands a
