Make the defect of kept calls keep them again

Cause: `make mutants`, not run for some time, showed that no proof caught keep-abandoned-calls. Since requests of a connection run side by side, the clean-up after a close no longer waits for the running call, and it ended the calls' context whatever the defect said. So the defect had none.

Ruled out: the proof. TestCallerThatGoesAwayCancelsItsCall fails with the defect as it was meant: "the call was not cancelled".

Change: both places end the calls by one function, which the defect disables.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -74,6 +74,13 @@
 	c.pending = nil
 }
 
+// endCalls ends the contexts of the connection's requests.
+func (c *conn) endCalls() {
+	if !defect.On("keep-abandoned-calls") {
+		c.cancel()
+	}
+}
+
 // next takes the oldest request that is not answered. It reports false once the
 // connection is to take no more requests.
 func (c *conn) next() (request, bool) {
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -19,7 +19,6 @@
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
 
-	"github.com/baobabstack/baobabstack/internal/defect"
 	"github.com/baobabstack/baobabstack/internal/memory"
 )
 
@@ -215,9 +214,7 @@
 	if !ok {
 		return
 	}
-	if !defect.On("keep-abandoned-calls") {
-		c.cancel()
-	}
+	c.endCalls()
 	nbc.MustExecute(func() {
 		c.CloseAndClean(err)
 		s.closed(c)
@@ -225,7 +222,7 @@
 }
 
 func (s *Server) closed(c *conn) {
-	c.cancel()
+	c.endCalls()
 	s.conns.Delete(c)
 	s.open.Add(-1)
 	s.counters.connections.Dec()
