Tell the first list of servers in one line, and test the registry

Cause: at a start each gateway wrote a line for each server of the first list: at 3,000 servers 400 KB of log in the first second, formatted by a gateway that has a third of a core and should answer.

Change: the first list is one line with the number of servers and the revision, the lines of single servers are at level debug; later changes are told one by one as before. Tests of the registry: servers that stay keep their connections and place whatever the order of the list, one that was started again does not; the share of a server's connections.

Before: 2,002 lines at a start with 2,000 servers.

--- a/internal/discovery/state.go
+++ b/internal/discovery/state.go
@@ -113,6 +113,9 @@
 	}
 	if b.Full {
 		changed = append(changed, s.removeAbsent(b, now)...)
+		if !s.listed {
+			s.log.With("servers", len(s.servers)).With("revision", b.Revision).Infof("servers listed")
+		}
 		s.listed = true
 	}
 	s.revision = max(s.revision, b.Revision)
@@ -179,8 +182,14 @@
 func (s *State) takeServer(key string, server Server) {
 	old, known := s.servers[key]
 	s.servers[key] = server
-	if !known || old.Leaving != server.Leaving || old.Born != server.Born {
-		s.log.With("server", server.ID).With("service", server.Service).With("leaving", server.Leaving).Infof("server listed")
+	if known && old.Leaving == server.Leaving && old.Born == server.Born {
+		return
+	}
+	line := s.log.With("server", server.ID).With("service", server.Service).With("leaving", server.Leaving)
+	if s.listed {
+		line.Infof("server listed")
+	} else {
+		line.Debugf("server listed") // the first list is told in one line, however long it is
 	}
 }
 
--- a/internal/gateway/registry_test.go
+++ b/internal/gateway/registry_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/baobabstack/baobabstack/internal/discovery"
 	"github.com/baobabstack/baobabstack/internal/fleet"
 	"github.com/baobabstack/baobabstack/internal/fleetwire"
@@ -52,3 +55,50 @@
 		})
 	}
 }
+
+func order(list []*target) (ids []string) {
+	for _, t := range list {
+		ids = append(ids, t.info.ID)
+	}
+	return ids
+}
+
+func TestServersThatStayKeepTheirStateAndPlace(t *testing.T) {
+	r := testRegistry()
+	v := discovery.View{Table: testTable(t), Servers: manyServers(30)}
+	before := r.build(v, time.Now()).services["stock"]
+	assert.Equal(t, len(before.near), 10)
+	assert.Equal(t, len(before.far), 20)
+
+	// Another order, one server fewer, and one that was started again.
+	slices.Reverse(v.Servers)
+	gone, again := before.near[3], before.near[5]
+	v.Servers = slices.DeleteFunc(v.Servers, func(s discovery.Server) bool { return s.ID == gone.info.ID })
+	for i := range v.Servers {
+		if v.Servers[i].ID == again.info.ID {
+			v.Servers[i].Born++
+		}
+	}
+	after := r.build(v, time.Now()).services["stock"]
+	assert.DeepEqual(t, order(after.near), slices.Delete(order(before.near), 3, 4))
+	assert.DeepEqual(t, order(after.far), order(before.far))
+	for i, kept := range after.near {
+		old := before.near[(i+1)%10]
+		if i < 3 {
+			old = before.near[i]
+		}
+		assert.Equal(t, kept.server == old.server, kept.info.ID != again.info.ID, "%s", kept.info.ID)
+	}
+}
+
+func TestConnectionLimitIsSharedAmongLiveGateways(t *testing.T) {
+	for _, test := range []struct{ all, live, want int }{
+		{0, 10, 0},
+		{260, 1, 208},
+		{260, 17, 12},
+		{260, 200, minConnections},
+		{260, 0, 208},
+	} {
+		assert.Equal(t, connectionLimit(test.all, test.live), test.want, "%+v", test)
+	}
+}
