Outlive an earlier process after the time of day went back

Cause: a gateway's incarnation is the time of its start. If the time of day jumps back and the process is started again, the others take its news for old: it counts as dead after 10 s, and is known again only when its earlier process is forgotten, 60 s after its end. Meanwhile budgets are split among too few and its zone may read the store twice.

Ruled out: a counter kept over restarts, since the VMs have no disk.

Change: a gateway that hears of an earlier process with a higher number takes the next one, unless it is leaving, when the later process is the one to count.

Before: the test, in which the clock goes back between two starts, failed. After: the others know the new process after two datagrams.

--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -86,7 +86,11 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, n := range news {
-		if n.GetId() == m.self.Id || n.GetId() == "" || n.GetAddress() == "" {
+		if n.GetId() == m.self.Id {
+			m.outlive(n)
+			continue
+		}
+		if n.GetId() == "" || n.GetAddress() == "" {
 			continue
 		}
 		old, ok := m.known[n.Id]
@@ -113,6 +117,14 @@
 	}
 }
 
+// outlive takes a number above that of an earlier process of this gateway, if the
+// time of day has gone back since its start.
+func (m *Members) outlive(earlier *fleetwire.Member) {
+	if earlier.Incarnation > m.self.Incarnation && !m.self.Leaving {
+		m.self.Incarnation = earlier.Incarnation + 1
+	}
+}
+
 func newer(a, b *fleetwire.Member) bool {
 	if a.Incarnation != b.Incarnation {
 		return a.Incarnation > b.Incarnation
--- a/internal/fleet/members_test.go
+++ b/internal/fleet/members_test.go
@@ -92,6 +92,31 @@
 	to.Merge(from.Wanted(wanted), clock)
 }
 
+// The time of day went back between two starts of a gateway, so the later process
+// has the lower number.
+func TestRestartAfterTheClockWentBackIsNoticed(t *testing.T) {
+	other := table(wire("b", "x", 1))
+	before := wire("a", "x", 1)
+	before.Incarnation, before.Beat = 9, 40
+	other.Merge([]*fleetwire.Member{before}, now)
+
+	after := wire("a", "x", 1)
+	after.Incarnation = 5
+	restarted := table(after)
+	later := now.Add(time.Second)
+	tell(restarted, other, later)
+	assert.Equal(t, other.known["a"].heardAt, now, "taken for old news at first")
+	tell(other, restarted, later)
+	tell(restarted, other, later)
+	assert.Equal(t, other.known["a"].heardAt, later)
+	assert.Equal(t, other.known["a"].wire.Incarnation, uint64(10))
+
+	leaving := table(wire("a", "x", 1))
+	leaving.Leave()
+	tell(other, leaving, later)
+	assert.Equal(t, leaving.Self().Incarnation, uint64(1), "the next process has started already")
+}
+
 func TestNewsReachesALargeFleet(t *testing.T) {
 	for _, test := range []struct{ size, start int }{
 		{17, 10},
