Say in the log when a load was guessed

Cause: a send to a server that had not told its load yet was logged with an age of 2562047h47m16s, the time since the year 1.

Change: such a send says guessed.

--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -22,7 +22,10 @@
 	waiting int
 	slots   int
 	slow    float64
+	// loadAge is how old the server's own figures were; they are a guess by own
+	// calls if told is false.
 	loadAge time.Duration
+	told    bool
 	failing float64
 	far     bool
 	hedge   bool
@@ -36,7 +39,7 @@
 	c := o.candidate
 	t.sends = append(t.sends, sendTrace{
 		server: o.target.info.ID, running: c.Running + c.Extra, waiting: c.Waiting, slots: c.Slots, slow: c.Slowness,
-		loadAge: now.Sub(o.answeredAt), failing: c.Failing, far: c.Far,
+		loadAge: now.Sub(o.answeredAt), told: !o.answeredAt.IsZero(), failing: c.Failing, far: c.Far,
 		outcome: "abandoned",
 	})
 	return len(t.sends) - 1
@@ -63,7 +66,7 @@
 			b.WriteString("; ")
 		}
 		b.WriteString(s.server + "(load " + strconv.Itoa(s.running) + "+" + strconv.Itoa(s.waiting) + "/" + strconv.Itoa(s.slots))
-		b.WriteString(" x" + strconv.FormatFloat(s.slow, 'f', 1, 64) + " age " + s.loadAge.Round(100*time.Microsecond).String())
+		b.WriteString(" x" + strconv.FormatFloat(s.slow, 'f', 1, 64) + " " + s.age())
 		if s.failing > 0 {
 			b.WriteString(" failing " + strconv.FormatFloat(s.failing, 'f', 2, 64))
 		}
@@ -78,6 +81,13 @@
 	return b.String()
 }
 
+func (s *sendTrace) age() string {
+	if !s.told {
+		return "guessed"
+	}
+	return "age " + s.loadAge.Round(100*time.Microsecond).String()
+}
+
 // logRequest writes the line of a request.
 func logRequest(log logs.Logger, r *request, a *answer, now time.Time) {
 	l := log.With("id", r.id).With("route", r.route.Name).With("service", r.service.name).With("version", r.version).
