Let every entry try a store that is away, at most 2 s apart

Change: the pause of one that is not a reader is 2 s again, that of the first of a data centre 1 s. What the doubling was to save is saved by the watch: a gateway with old news no longer reads all.

--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -67,11 +67,12 @@
 	// store that fails; a reader's is short, because others wait for it.
 	storeBackoffMin = 100 * time.Millisecond
 	storeBackoffMax = 500 * time.Millisecond
-	// otherBackoff is the pause of an entry that is not a reader. It doubles with
-	// each failure up to otherBackoffMax: if all entries turned to a store that is
-	// slow under their load, it would answer its readers no more.
-	otherBackoff    = 2 * time.Second
-	otherBackoffMax = 16 * time.Second
+	// otherBackoff is the pause of an entry that is not a reader, and leaderBackoff
+	// that of the first of a data centre. While the store answers no one, the
+	// entries' views of who should read it differ, so each tries at times: a
+	// configuration must be in force 2 s after the store's return.
+	otherBackoff  = 2 * time.Second
+	leaderBackoff = time.Second
 	// outageAfter is how long the store must fail before its return counts as the
 	// end of an outage.
 	outageAfter = 800 * time.Millisecond
@@ -131,9 +132,6 @@
 	spread       time.Duration
 	failing      time.Time // since when the store fails
 	backoff      time.Duration
-	// storeFailures counts the failures of the store since it or another entry
-	// with fresh news answered.
-	storeFailures int
 
 	// resumable says that a watch can go on from the state's revision: the store has
 	// its history, and nothing before it is missing in the state.
@@ -244,11 +242,7 @@
 
 // pick returns the source to follow now, or nil if all have to rest.
 func (f *Follower) pick(now time.Time, peers Peers) Source {
-	pause := min(otherBackoff<<min(f.storeFailures, 3), otherBackoffMax)
-	if peers.Reader {
-		pause = f.backoff
-	}
-	storeReady := now.Sub(f.lastStore) >= pause
+	storeReady := now.Sub(f.lastStore) >= f.storePause(peers)
 	switch {
 	case storeReady && (peers.Reader || f.stale(peers)):
 		return f.options.Store
@@ -259,6 +253,18 @@
 	}
 }
 
+// storePause is the pause after the latest failure of the store.
+func (f *Follower) storePause(peers Peers) time.Duration {
+	switch {
+	case peers.Reader:
+		return f.backoff
+	case peers.Leader:
+		return leaderBackoff
+	default:
+		return otherBackoff
+	}
+}
+
 // peerPause is the pause after the latest failure of another entry.
 func (f *Follower) peerPause(sources int) time.Duration {
 	rounds := min(f.peerFailures/sources, 4) // peerBackoffMax at the latest
@@ -381,7 +387,6 @@
 		f.failing = now
 	}
 	f.lastStore = now
-	f.storeFailures++
 	f.backoff = min(f.backoff*2, storeBackoffMax)
 	f.contact(false, now)
 	f.feed(Batch{}) // followers turn to another at once
@@ -417,7 +422,7 @@
 	}
 	f.failing = time.Time{}
 	f.lastStore = time.Time{}
-	f.backoff, f.storeFailures = storeBackoffMin, 0
+	f.backoff = storeBackoffMin
 }
 
 // publish gives a change to the process and to followers.
