Test when a state counts as withholding servers

Cause: the flag that decides between a watch and a full reading had a test through the follower only, not of its end.

A comment says what withheldUntil is.

No change of behaviour.

--- a/internal/discovery/state.go
+++ b/internal/discovery/state.go
@@ -81,8 +81,8 @@
 	// graceUntil is when servers that are missing after an outage are given up.
 	graceUntil time.Time
 	missing    map[string]struct{}
-	// withheldUntil is when a missing server was last given up, and withholdAfter;
-	// sourceWithholds is what the source said of itself.
+	// withheldUntil is withholdAfter past the moment at which a missing server was
+	// last given up. sourceWithholds is what the source said of itself.
 	withheldUntil   time.Time
 	sourceWithholds bool
 }
--- a/internal/discovery/state_test.go
+++ b/internal/discovery/state_test.go
@@ -152,3 +152,24 @@
 		}
 	})
 }
+
+// A watch from the state's revision would not tell that such servers are gone.
+func TestStateWithholdsServersUntilTheirEndIsPassedOn(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := NewState(textDecoder{})
+	s.Apply(Batch{Full: true, Revision: 5, Items: []Item{put("config", "1", 1), put("s/a", "up", 2)}}, now)
+	assert.Assert(t, !s.Withholds(now))
+	s.Returned(now)
+	s.Apply(Batch{Revision: 6, Items: []Item{{Key: "s/a", Revision: 6, Deleted: true}}}, now)
+	assert.Equal(t, ids(s), "a")
+	assert.Assert(t, s.Withholds(now))
+
+	end := now.Add(returnGrace)
+	assert.Equal(t, len(s.Expire(end)), 1)
+	assert.Equal(t, ids(s), "")
+	assert.Assert(t, s.Withholds(end), "followers may not know yet")
+	assert.Assert(t, !s.Withholds(end.Add(withholdAfter)))
+
+	s.Apply(Batch{Withholds: true}, end)
+	assert.Assert(t, s.Withholds(end.Add(withholdAfter)), "the source withholds")
+}
