Let requests wait for the configuration of an entry that has just started

Ruled out: the time to start (a VM with 200 Mbit/s is ready 63 ms after its start), full servers (none of the refusals was for that).

Change: a request that arrives in the first second of an entry waits for the configuration, for at most 500 ms and a quarter of the caller's time; an entry that knows nothing later refuses at once, as before.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -21,21 +21,15 @@
 type handler struct {
 	options    *Options
 	dispatcher *dispatcher
-	current    atomic.Pointer[snapshot]
+	current    *latest
 	log        logs.Logger
 	metrics    *counters
 	draw       atomic.Uint64
 }
 
-const (
-	// unknownRetryAfter is when callers come back to an entry that knows no
-	// configuration: the time of a call to the store.
-	unknownRetryAfter = 100 * time.Millisecond
-)
-
 // limits returns the configuration's bounds on callers.
 func (h *handler) limits() httpserver.Limits {
-	s := h.current.Load()
+	s := h.current.get()
 	if s == nil {
 		return httpserver.Limits{}
 	}
@@ -48,10 +42,10 @@
 	received := time.Now()
 	d := h.options.Dialect
 	id := r.Header.Get(d.CallID)
-	s := h.current.Load()
+	s := h.current.wait(r, d.Deadline)
 	if s == nil {
 		a := answer{status: http.StatusServiceUnavailable, reason: "no-configuration", retryAfter: unknownRetryAfter}
-		h.log.With("id", id).With("status", a.status).With("reason", a.reason).Infof("request refused")
+		h.log.With("id", id).With("status", a.status).With("reason", a.reason).With("took", time.Since(received).Round(100*time.Microsecond)).Infof("request refused")
 		h.write(w, id, a)
 		return
 	}
@@ -171,7 +165,7 @@
 }
 
 func newHandler(o *Options, m *counters) *handler {
-	h := &handler{options: o, log: logs.For("gateway"), metrics: m}
+	h := &handler{options: o, current: newLatest(o.started), log: logs.For("gateway"), metrics: m}
 	h.draw.Store(rand.Uint64N(1 << 20))
 	h.dispatcher = &dispatcher{options: o, metrics: m, works: make(map[string]*placement.Work)}
 	return h
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -88,7 +88,7 @@
 		Peers:   func(now time.Time) discovery.Peers { return fleet.Sources(o.Members, *o.seeds.Load(), now) },
 		Contact: o.contact,
 		Publish: func(v discovery.View) {
-			if h.current.Swap(reg.build(v, time.Now())) == nil {
+			if h.current.set(reg.build(v, time.Now())) {
 				log.With("after", time.Since(o.started).Round(time.Millisecond)).Infof("ready: configuration and servers are known")
 			}
 		},
@@ -214,7 +214,7 @@
 }
 
 func (s *stopper) ready(w http.ResponseWriter, _ *http.Request) {
-	if s.stopping.Load() || s.handler.current.Load() == nil {
+	if s.stopping.Load() || s.handler.current.get() == nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
