Count the answered call out of the load that its answer tells

Cause: the load in a server's answer counts the call that it answers as running (112 of 117 answers to calls that had found an idle server told 1), so a server whose last slot had just come free was taken for full and not handed to a request that waits, and its remembered load was one too high. Ruled out: other callers' calls (they move the figure both ways; most lone calls tell exactly 1). Change: the dialect says that the load counts the call, and it is taken off.

--- a/internal/upstream/dialect.go
+++ b/internal/upstream/dialect.go
@@ -14,6 +14,9 @@
 	ServerID string
 	// Load carries a server's load.
 	Load string
+	// LoadCountsCall says that the load in an answer counts the call that is answered
+	// as running.
+	LoadCountsCall bool
 	// NotRun marks an answer to a call that the server has not run.
 	NotRun string
 	// Signature is on each answer that a server's application made.
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -270,6 +270,9 @@
 	d := s.options.Dialect
 	r := Result{Certainty: Answered, Status: m.status, Header: m.header, Body: m.body}
 	r.Load, r.Known = s.load(m.header)
+	if d.LoadCountsCall && m.header.Get(d.NotRun) == "" {
+		r.Load.Running = max(r.Load.Running-1, 0)
+	}
 	success := m.status >= http.StatusOK && m.status < http.StatusMultipleChoices
 	switch {
 	case m.status == http.StatusMisdirectedRequest:
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -15,6 +15,7 @@
 
 var dialect = &Dialect{
 	CallID: "Call-Id", Deadline: "Left", ExpectServer: "For", ServerID: "Server-Id", Load: "Load", NotRun: "Not-Run", Signature: "Signed",
+	LoadCountsCall: true,
 	ParseLoad: func(value string) (Load, bool) {
 		return Load{Running: len(value), Slots: 6, Slowness: 1}, value != ""
 	},
@@ -23,7 +24,7 @@
 const health = "HTTP/1.1 200 OK\r\nServer-Id: s1\r\nLoad: xx\r\nContent-Length: 0\r\n\r\n"
 
 func answerTo(id, body string) string {
-	return "HTTP/1.1 200 OK\r\nCall-Id: " + id + "\r\nSigned: y\r\nLoad: x\r\nContent-Length: " + itoa(len(body)) + "\r\n\r\n" + body
+	return "HTTP/1.1 200 OK\r\nCall-Id: " + id + "\r\nSigned: y\r\nLoad: xx\r\nContent-Length: " + itoa(len(body)) + "\r\n\r\n" + body
 }
 
 func itoa(n int) string { return string(rune('0'+n/10)) + string(rune('0'+n%10)) }
@@ -117,7 +118,7 @@
 	r := lease.Send(context.Background(), call())
 	assert.Equal(t, r.Certainty, Answered)
 	assert.Equal(t, string(r.Body), "hello")
-	assert.Equal(t, r.Load.Running, 1)
+	assert.Equal(t, r.Load.Running, 1, "two ran, of which one is answered")
 	assert.Assert(t, lease.Usable())
 	assert.DeepEqual(t, backend.seen(), []string{"GET /health ", "GET /x?q=1 s1"})
 	opened, probes := server.Counts()
