Count the objective from the caller's first call

Ruled out: more capacity (served calls are at what the slots carry) and the refusals themselves (what is refused can't be served).

Change: placement.Callers infers what a caller has waited before from the time that it has left.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -21,7 +21,10 @@
 	call     upstream.Call
 	received time.Time
 	deadline time.Time
-	trace    *trace
+	// onTimeUntil is until when an answer is within the route's objective, which
+	// counts from the caller's first call.
+	onTimeUntil time.Time
+	trace       *trace
 }
 
 // answer is what the caller gets.
@@ -38,8 +41,8 @@
 	options *Options
 	metrics *counters
 
-	mu    sync.Mutex
-	works map[string]*placement.Work // by route
+	mu     sync.Mutex
+	routes map[string]*routeState
 }
 
 // run answers a request.
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -12,7 +12,6 @@
 
 	"github.com/baobabstack/baobabstack/internal/httpserver"
 	"github.com/baobabstack/baobabstack/internal/logs"
-	"github.com/baobabstack/baobabstack/internal/placement"
 	"github.com/baobabstack/baobabstack/internal/routing"
 	"github.com/baobabstack/baobabstack/internal/upstream"
 )
@@ -66,13 +65,14 @@
 }
 
 func (h *handler) newRequest(r *http.Request, s *snapshot, route *routing.Route, id string, received time.Time) (*request, answer) {
-	timeout := route.Timeout
+	timeout, waited := route.Timeout, time.Duration(0)
 	if text := r.Header.Get(h.options.Dialect.Deadline); text != "" {
 		ms, err := strconv.ParseInt(text, 10, 32)
 		if err != nil || ms < 0 {
 			return nil, answer{status: http.StatusBadRequest, reason: "bad-deadline"}
 		}
-		timeout = min(timeout, time.Duration(ms)*time.Millisecond)
+		left := time.Duration(ms) * time.Millisecond
+		timeout, waited = min(timeout, left), h.dispatcher.callers(route).Waited(left)
 	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -84,7 +84,7 @@
 		call: upstream.Call{
 			ID: id, Method: r.Method, Target: r.RequestURI, Head: head(r, h.options.Dialect), Body: body,
 		},
-		received: received, deadline: received.Add(timeout), trace: &trace{},
+		received: received, deadline: received.Add(timeout), onTimeUntil: received.Add(route.Objective - waited), trace: &trace{},
 	}, answer{}
 }
 
@@ -167,6 +167,6 @@
 func newHandler(o *Options, m *counters) *handler {
 	h := &handler{options: o, current: newLatest(o.started), log: logs.For("gateway"), metrics: m}
 	h.draw.Store(rand.Uint64N(1 << 20))
-	h.dispatcher = &dispatcher{options: o, metrics: m, works: make(map[string]*placement.Work)}
+	h.dispatcher = &dispatcher{options: o, metrics: m, routes: make(map[string]*routeState)}
 	return h
 }
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -69,7 +69,7 @@
 	usual, crowding := d.work(r.route).Usual()
 	return placement.Demand{
 		Work: usual, Crowding: crowding,
-		Objective: max(r.received.Add(r.route.Objective).Sub(now), time.Millisecond),
+		Objective: max(r.onTimeUntil.Sub(now), time.Millisecond),
 		Left:      r.deadline.Sub(now),
 	}
 }
@@ -165,14 +165,25 @@
 	first.Owner.(*wait).handoff <- o
 }
 
-// work returns the estimate of a route's work.
-func (d *dispatcher) work(r *routing.Route) *placement.Work {
+// routeState is what is learned of a route's calls and callers.
+type routeState struct {
+	work    *placement.Work
+	callers *placement.Callers
+}
+
+func (d *dispatcher) learned(r *routing.Route) *routeState {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	w, ok := d.works[r.Name]
+	s, ok := d.routes[r.Name]
 	if !ok {
-		w = placement.NewWork(r.Objective)
-		d.works[r.Name] = w
+		s = &routeState{work: placement.NewWork(r.Objective), callers: placement.NewCallers()}
+		d.routes[r.Name] = s
 	}
-	return w
+	return s
 }
+
+// work returns the estimate of a route's work.
+func (d *dispatcher) work(r *routing.Route) *placement.Work { return d.learned(r).work }
+
+// callers returns what is known of a route's callers.
+func (d *dispatcher) callers(r *routing.Route) *placement.Callers { return d.learned(r).callers }
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -96,6 +96,9 @@
 	if r.trace.queued {
 		l = l.With("queued", true)
 	}
+	if waited := r.received.Add(r.route.Objective).Sub(r.onTimeUntil); waited > 0 {
+		l = l.With("waited_before", waited.Round(time.Millisecond))
+	}
 	if a.retryAfter > 0 {
 		l = l.With("retry_after", a.retryAfter.Round(time.Millisecond))
 	}
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -35,6 +35,8 @@
 	switch {
 	case c != nil && c.Fits(d):
 		return Send
+	case c != nil && d.Late() && c.Quick(d) && c.InTime(d):
+		return Send
 	case patient:
 		return Wait
 	case c != nil && c.Free() && c.InTime(d):
--- a/internal/placement/estimate.go
+++ b/internal/placement/estimate.go
@@ -49,6 +49,10 @@
 	Objective, Left time.Duration
 }
 
+// Late reports whether not even an idle server is expected to answer well within the
+// objective.
+func (d Demand) Late() bool { return float64(d.Work) > fitShare*float64(d.Objective) }
+
 // Free reports whether a call would start at once.
 func (c Candidate) Free() bool { return c.ahead() < c.Slots && c.Waiting == 0 }
 
@@ -107,11 +111,14 @@
 	fitShare = 0.75
 )
 
-// Good reports whether the server need not be compared with more of them.
-func (c Candidate) Good(d Demand) bool {
-	return c.Free() && c.Failing < goodFailing && c.Finish(d) <= time.Duration(goodFactor*float64(d.Work))
+// Quick reports whether a call would start at once and run about as long as usual.
+func (c Candidate) Quick(d Demand) bool {
+	return c.Free() && c.Finish(d) <= time.Duration(goodFactor*float64(d.Work))
 }
 
+// Good reports whether the server need not be compared with more of them.
+func (c Candidate) Good(d Demand) bool { return c.Quick(d) && c.Failing < goodFailing }
+
 // Fits reports whether an answer is expected well within the objective.
 func (c Candidate) Fits(d Demand) bool {
 	return float64(c.Finish(d)) <= fitShare*float64(d.Objective)
--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -34,6 +34,58 @@
 	assert.Assert(t, after.result.late < after.result.asked/10, "servers must not be busy with late answers")
 }
 
+// Load: a burst whose refused callers come back, and can no longer be answered within
+// the objective.
+func TestCallersThatCameBackLeaveSlotsToThoseStillInTime(t *testing.T) {
+	play := func(known bool) (sum tally) {
+		for seed := range uint64(5) {
+			w := newWorld(10 + seed)
+			w.comeBack, w.known = true, known
+			r := w.run(220, day, w.policy)
+			sum = tally{sum.asked + r.asked, sum.inAim + r.inAim, sum.late + r.late, sum.refused + r.refused}
+		}
+		return sum
+	}
+	before, after := play(false), play(true)
+	t.Logf("in aim: own time only %.3f (%d late, %d refused), with the time waited before %.3f (%d late, %d refused)",
+		before.share(), before.late, before.refused, after.share(), after.late, after.refused)
+	assert.Assert(t, after.share() > before.share()+0.05)
+	assert.Assert(t, after.refused < before.asked*4/10)
+}
+
+// Load: callers with two usual times, of whom some come back with what is left.
+func TestTimeWaitedBeforeIsInferred(t *testing.T) {
+	c := NewCallers()
+	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+	for i := range 200 {
+		assert.Equal(t, c.Waited(ms(500-i%4)), time.Duration(0), "first calls, some on a new connection")
+		assert.Equal(t, c.Waited(ms(1200)), time.Duration(0), "of another kind of caller")
+		if i%3 == 0 {
+			c.Waited(ms(280 + (i*37)%120))
+		}
+	}
+	near := func(got, want time.Duration) { t.Helper(); assert.Assert(t, (got-want).Abs() < ms(50), "%s", got) }
+	near(c.Waited(ms(350)), ms(150))
+	near(c.Waited(ms(900)), ms(300))
+	assert.Equal(t, c.Waited(ms(5000)), time.Duration(0), "more than is usual")
+	assert.Equal(t, c.Waited(0), time.Duration(0))
+	assert.Equal(t, NewCallers().Waited(ms(350)), time.Duration(0), "nothing is known yet")
+}
+
+// Load: a new configuration after which callers wait less long.
+func TestUsualTimesAreForgotten(t *testing.T) {
+	c := NewCallers()
+	for range 1000 {
+		c.Waited(time.Second)
+	}
+	assert.Assert(t, c.Waited(400*time.Millisecond) > 0)
+	for range 1000 {
+		c.Waited(400 * time.Millisecond)
+	}
+	assert.Equal(t, c.Waited(400*time.Millisecond), time.Duration(0))
+	assert.Assert(t, len(c.counts) < 10)
+}
+
 // Load: all servers of the near data centre are full while a far one is idle.
 func TestFarDataCentreIdleWhileTheNearOneIsFull(t *testing.T) {
 	d := Demand{Work: 100 * time.Millisecond, Crowding: 1, Objective: 400 * time.Millisecond, Left: time.Second}
@@ -77,6 +129,10 @@
 	for _, c := range cases {
 		assert.Equal(t, Decide(c.c, d, c.held, 300*time.Millisecond), c.want, c.name)
 	}
+	behind := d
+	behind.Objective = 50 * time.Millisecond
+	assert.Equal(t, Decide(&Candidate{Slots: 3, Slowness: 1, Failing: 0.5}, behind, 0, 300*time.Millisecond), Send, "waiting makes a late call no better")
+	assert.Equal(t, Decide(&Candidate{Running: 3, Slots: 3, Slowness: 1}, behind, 0, 300*time.Millisecond), Wait, "a late call leaves queues to others")
 	late := d
 	late.Left = 500 * time.Millisecond
 	assert.Equal(t, Decide(&slow, late, 200*time.Millisecond, 300*time.Millisecond), Refuse, "an answer after the deadline helps no one")
--- a/internal/placement/world_test.go
+++ b/internal/placement/world_test.go
@@ -22,7 +22,10 @@
 	slowFactor       float64
 	redraw           time.Duration
 	objective, limit time.Duration
-	result           tally
+	// comeBack says that refused callers ask once more, and known that the entry
+	// knows when they first asked.
+	comeBack, known bool
+	result          tally
 }
 
 type simServer struct {
@@ -32,6 +35,7 @@
 }
 
 type simCall struct {
+	first   time.Duration // when the caller first asked
 	arrived time.Duration
 	server  *simServer
 }
@@ -87,7 +91,7 @@
 	}
 	arrive = func() {
 		w.result.asked++
-		choose(&simCall{arrived: w.now})
+		choose(&simCall{first: w.now, arrived: w.now})
 		w.after(time.Duration(w.rng.ExpFloat64()/perSecond*float64(time.Second)), arrive)
 	}
 	draw()
@@ -121,7 +125,7 @@
 
 func (w *world) end(c *simCall, s *simServer) {
 	s.running--
-	switch took := w.now - c.arrived; {
+	switch took := w.now - c.first; {
 	case took <= w.objective:
 		w.result.inAim++
 	case took <= w.limit:
@@ -139,8 +143,23 @@
 }
 
 func (w *world) demand(c *simCall) Demand {
-	held := w.now - c.arrived
-	return Demand{Work: w.work, Crowding: w.knee, Objective: max(w.objective-held, time.Millisecond), Left: w.limit - held}
+	waited := w.now - c.arrived
+	if w.known {
+		waited = w.now - c.first
+	}
+	return Demand{Work: w.work, Crowding: w.knee, Objective: max(w.objective-waited, time.Millisecond), Left: w.limit - (w.now - c.first)}
+}
+
+// refuse ends a call, and lets its caller come back once.
+func (w *world) refuse(c *simCall) {
+	if !w.comeBack || c.arrived > c.first {
+		w.result.refused++
+		return
+	}
+	w.after(RetryAfter(w.limit-(w.now-c.first)), func() {
+		c.arrived = w.now
+		w.policy(c)
+	})
 }
 
 // twoChoices is the baseline: of two servers the one with fewer calls, without
@@ -172,6 +191,6 @@
 	case Wait:
 		w.after(8*time.Millisecond, func() { w.policy(c) })
 	default:
-		w.result.refused++
+		w.refuse(c)
 	}
 }
