Listen soon after an address has come free

Cause: the soak's ended with "the fleet does not start to serve". The gateway's process of the run before was killed but not waited for, so the addresses of one gateway were in use. Two faults of the product made that last: the listener of callers started its engine first, and the engine's stop after a failed listen hung for ever (goroutine dump: Engine.Stop in Start); and after five failures the supervisor paused for 15 s, for all services.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -37,8 +37,8 @@
 			Gateways: o.Gateways, Callers: o.Callers, Defect: o.Defect,
 		}, os.Stdout)
 		if err != nil {
-			fmt.Fprintf(os.Stderr, "seed %d: %v\n", seed, err)
-			os.Exit(1)
+			fmt.Printf("VIOLATION seed %d: %v\n", seed, err)
+			n = 1
 		}
 		found += n
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -19,6 +19,7 @@
 	"github.com/baobabstack/baobabstack/internal/httpserver"
 	"github.com/baobabstack/baobabstack/internal/logs"
 	"github.com/baobabstack/baobabstack/internal/settings"
+	"github.com/baobabstack/baobabstack/internal/tree"
 	"github.com/baobabstack/baobabstack/internal/upstream"
 )
 
@@ -99,7 +100,7 @@
 	}}
 	stop := &stopper{settings: s.Stop, handler: h, front: front, members: o.Members, log: log}
 
-	root := suture.New("gateway", suture.Spec{EventHook: func(e suture.Event) { log.Warnf("%s", e) }})
+	root := tree.New("gateway", log)
 	for _, child := range []suture.Service{
 		follower, front,
 		fleet.NewService(s.Listen.Fleet, o.Members, follower),
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -96,14 +96,15 @@
 	})
 	s.engine.OnWrittenSize(onWritten)
 	s.engine.Engine.OnClose(s.onClose)
-	if err := s.engine.Start(); err != nil {
-		return nil, errors.Wrapf(err, "%s: start the engine", o.Name)
-	}
+	// The address comes first: an engine that has just started may not stop.
 	listener, err := net.Listen("tcp", o.Address)
 	if err != nil {
-		s.engine.Stop()
 		return nil, errors.Wrapf(err, "%s: listen on %s", o.Name, o.Address)
 	}
+	if err := s.engine.Start(); err != nil {
+		_ = listener.Close()
+		return nil, errors.Wrapf(err, "%s: start the engine", o.Name)
+	}
 	s.listener = listener
 	s.accepted.Add(1)
 	go s.accept()
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -25,6 +25,7 @@
 	"github.com/baobabstack/baobabstack/internal/supervisor/servers"
 	"github.com/baobabstack/baobabstack/internal/supervisor/shares"
 	"github.com/baobabstack/baobabstack/internal/tracing"
+	"github.com/baobabstack/baobabstack/internal/tree"
 	"github.com/baobabstack/baobabstack/internal/view"
 )
 
@@ -59,7 +60,7 @@
 		return err
 	}
 
-	root := suture.New("entry", suture.Spec{EventHook: func(e suture.Event) { log.Warnf("%s", e) }})
+	root := tree.New("entry", log)
 	root.Add(ctl)
 	addWatchers(root, s, holder, ctl, peerService)
 	operators := admin.NewService(s.Admin.Address, holder)
--- a/proof/soak/fleet.go
+++ b/proof/soak/fleet.go
@@ -25,6 +25,7 @@
 
 	mu      sync.Mutex
 	process *exec.Cmd
+	ended   chan struct{} // closed at the end of the process
 	started time.Time
 	calm    time.Time // no fault has touched it since
 	closing bool
@@ -94,10 +95,12 @@
 	if err := cmd.Start(); err != nil {
 		return errors.Wrapf(err, "start %s", o.Binary)
 	}
-	g.process, g.started, g.calm = cmd, time.Now(), time.Now()
+	ended := make(chan struct{})
+	g.process, g.ended, g.started, g.calm = cmd, ended, time.Now(), time.Now()
 	go func() {
 		_ = cmd.Wait() // ended by a fault, or by itself, which the log tells
 		_ = out.Close()
+		close(ended)
 		time.Sleep(restartPause)
 		_ = g.start(o)
 	}()
@@ -130,12 +133,17 @@
 	return g.started, g.calm
 }
 
+// close ends the process. Its addresses are free for the next run then.
 func (g *gatewayNode) close() {
 	g.mu.Lock()
 	g.closing = true
+	ended := g.ended
 	g.mu.Unlock()
-	g.signal(syscall.SIGCONT)
-	g.signal(syscall.SIGKILL)
+	if ended != nil {
+		g.signal(syscall.SIGCONT)
+		g.signal(syscall.SIGKILL)
+		<-ended
+	}
 	g.store.Close()
 }
 
--- a/proof/soak/soak.go
+++ b/proof/soak/soak.go
@@ -87,7 +87,7 @@
 		return 0, err
 	}
 	if !s.served(recovery) {
-		return 0, errors.New("the fleet does not start to serve")
+		return 0, errors.Errorf("the fleet does not start to serve; logs are in %s", s.dir)
 	}
 	s.play()
 	s.report(out)
