Leave health checks to calls that have not asked yet

Cause: a call that waits asked up to eight servers every 8 ms.

Change: a call that waits asks two servers at a time, and only while health checks for 3 s are left; once less than 0.5 s is left, each call asks two.

--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -23,6 +23,9 @@
 	// elsewhere.
 	askNear = 6
 	askMost = 8
+	// askSparing is how many are asked once health checks are scarce, so that each
+	// request can ask some.
+	askSparing = 2
 	// askTimeout bounds a health check: a few ms to and from another data centre,
 	// and pauses of small VMs.
 	askTimeout = 60 * time.Millisecond
@@ -89,7 +92,11 @@
 	}
 	order := usable(svc.near, tried, demand, now)
 	order = append(order[:min(len(order), askNear)], usable(svc.far, tried, demand, now)...)
-	order = order[:min(len(order), askMost)]
+	most := askMost
+	if svc.state.asks.Scarce(d.probeRate(svc), now) {
+		most = askSparing
+	}
+	order = order[:min(most, len(order))]
 	var best *offer
 	for len(order) > 0 && (best == nil || !best.candidate.Good(demand)) {
 		n := min(askAtOnce, len(order))
@@ -106,6 +113,24 @@
 	return d.guess(ctx, svc, demand, tried, now)
 }
 
+// look asks a few servers for a request that waits. It leaves health checks to the
+// requests that have not asked yet, and returns nil without them.
+func (d *dispatcher) look(ctx context.Context, svc *service, demand placement.Demand, tried map[*upstream.Server]bool) *offer {
+	now := time.Now()
+	if svc.state.mute.Load() {
+		return d.guess(ctx, svc, demand, tried, now)
+	}
+	if !svc.state.asks.Spare(d.probeRate(svc), now) {
+		return nil
+	}
+	order := usable(svc.near, tried, demand, now)
+	if len(order) < askAtOnce {
+		order = append(order, usable(svc.far, tried, demand, now)...)
+	}
+	found, _ := d.ask(ctx, svc, order[:min(askAtOnce, len(order))], demand)
+	return found
+}
+
 // better returns the better of two offers and releases the other.
 func better(a, b *offer, demand placement.Demand) *offer {
 	switch {
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -33,7 +33,7 @@
 		}
 		handed.release()
 		if w != nil || state.waiting() == 0 {
-			o := d.find(ctx, s.service, demand, s.tried)
+			o := d.search(ctx, s, demand, w != nil)
 			decision := d.decide(s, o, demand)
 			if decision == placement.Send {
 				return o, ""
@@ -54,6 +54,15 @@
 	}
 }
 
+// search returns the best server that it finds. A request that waits looks at a few
+// servers until its patience ends.
+func (d *dispatcher) search(ctx context.Context, s *sending, demand placement.Demand, waits bool) *offer {
+	if waits && time.Since(s.received) < placement.Patience(s.route.Objective) {
+		return d.look(ctx, s.service, demand, s.tried)
+	}
+	return d.find(ctx, s.service, demand, s.tried)
+}
+
 // decide applies placement's rule to the best server found.
 func (d *dispatcher) decide(s *sending, o *offer, demand placement.Demand) placement.Decision {
 	held := time.Since(s.received)
--- a/internal/placement/budget.go
+++ b/internal/placement/budget.go
@@ -104,10 +104,24 @@
 // Spare reports whether there are tokens beyond those kept for calls that have not
 // been sent yet.
 func (r *Rate) Spare(perSecond float64, now time.Time) bool {
+	return r.left(perSecond, now) > rateSpare
+}
+
+// rateScarce is how many seconds of the rate are left when each call may take a few
+// tokens only, so that those behind it get some.
+const rateScarce = 0.5
+
+// Scarce reports whether few tokens are left.
+func (r *Rate) Scarce(perSecond float64, now time.Time) bool {
+	return r.left(perSecond, now) < rateScarce
+}
+
+// left returns for how many seconds of the rate there are tokens.
+func (r *Rate) left(perSecond float64, now time.Time) float64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.fill(perSecond, now)
-	return r.tokens > perSecond*rateSpare
+	return r.tokens / perSecond
 }
 
 func (r *Rate) fill(perSecond float64, now time.Time) {
--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -53,6 +53,20 @@
 	assert.Assert(t, after.refused < before.asked*4/10)
 }
 
+// Load: a burst in which calls that wait would use up the health checks, so that those
+// behind them are sent blindly.
+func TestWaitingCallsLeaveHealthChecksToOthers(t *testing.T) {
+	play := func(sparing bool) tally {
+		w := newWorld(3)
+		w.checks, w.sparing = 42*float64(len(w.servers)), sparing
+		return w.run(160, day, w.policy)
+	}
+	before, after := play(false), play(true)
+	t.Logf("in aim: asking while there are health checks %.3f (%d late, %d refused), sparing them %.3f (%d late, %d refused)",
+		before.share(), before.late, before.refused, after.share(), after.late, after.refused)
+	assert.Assert(t, after.share() > before.share()+0.2)
+}
+
 // Load: callers with two usual times, of whom some come back with what is left.
 func TestTimeWaitedBeforeIsInferred(t *testing.T) {
 	c := NewCallers()
@@ -235,6 +249,8 @@
 	assert.Assert(t, taken <= 50*100+50*rateStart, "%d", taken)
 	assert.Assert(t, taken >= 50*99, "%d", taken)
 	assert.Assert(t, !r.Spare(50, now))
+	assert.Assert(t, r.Scarce(50, now))
+	assert.Assert(t, !r.Scarce(50, now.Add(time.Second)))
 	assert.Assert(t, r.Spare(50, now.Add(10*time.Second)))
 }
 
--- a/internal/placement/world_test.go
+++ b/internal/placement/world_test.go
@@ -25,7 +25,12 @@
 	// comeBack says that refused callers ask once more, and known that the entry
 	// knows when they first asked.
 	comeBack, known bool
-	result          tally
+	// checks is how many health checks a second are allowed, 0 any number; asks counts
+	// them. Sparing says that they are left to calls that have not asked yet.
+	checks  float64
+	asks    Rate
+	sparing bool
+	result  tally
 }
 
 type simServer struct {
@@ -172,20 +177,47 @@
 	w.send(c, a)
 }
 
+// allowed returns how many servers a call may ask now.
+func (w *world) allowed(c *simCall) int {
+	const all, few = 8, 2
+	now := time.Unix(1000, 0).Add(w.now)
+	waits := w.now > c.arrived && w.now-c.arrived < Patience(w.objective)
+	switch {
+	case !w.sparing:
+		return all
+	case waits && !w.asks.Spare(w.checks, now):
+		return 0
+	case waits, w.asks.Scarce(w.checks, now):
+		return few
+	default:
+		return all
+	}
+}
+
 // policy asks servers two at a time until one is good, and follows Decide.
 func (w *world) policy(c *simCall) {
 	demand := w.demand(c)
 	var candidates []Candidate
 	var asked []*simServer
-	for _, i := range w.rng.Perm(len(w.servers))[:min(8, len(w.servers))] {
+	for _, i := range w.rng.Perm(len(w.servers))[:min(w.allowed(c), len(w.servers))] {
+		if w.checks > 0 && !w.asks.Take(1, w.checks, time.Unix(1000, 0).Add(w.now)) {
+			break
+		}
 		asked = append(asked, w.servers[i])
 		candidates = append(candidates, w.candidate(w.servers[i]))
 		if len(asked)%2 == 0 && candidates[Best(candidates, demand)].Good(demand) {
 			break
 		}
 	}
-	best := Best(candidates, demand)
-	switch Decide(&candidates[best], demand, w.now-c.arrived, w.objective) {
+	decision, best := Wait, Best(candidates, demand)
+	switch {
+	case best >= 0:
+		decision = Decide(&candidates[best], demand, w.now-c.arrived, w.objective)
+	case w.allowed(c) > 0: // without health checks the choice is blind
+		w.send(c, w.servers[w.rng.IntN(len(w.servers))])
+		return
+	}
+	switch decision {
 	case Send:
 		w.send(c, asked[best])
 	case Wait:
