--- a/internal/placement/callers.go
+++ b/internal/placement/callers.go
@@ -20,9 +20,11 @@
 	// bucketRatio is the width of a bucket, as a ratio: a first call loses a few ms
 	// to the connection that it opens.
 	bucketRatio = 1.04
-	// usualShare of the calls makes a bucket usual. Callers come back after a time
-	// that is spread, which puts fewer of them into one bucket.
+	// usualShare of the calls in a bucket and its neighbours makes it usual, if it has
+	// ownShare itself. Callers come back after a time that is spread, which puts fewer
+	// of them into one bucket; a usual time may lie at the edge of two.
 	usualShare = 0.15
+	ownShare   = 0.05
 	// knownCalls is from how many calls on the shares say something, and
 	// forgetCalls from how many on older calls count half.
 	knownCalls  = 20
@@ -77,8 +79,7 @@
 	}
 }
 
-// usual reports whether first calls come with the time of a bucket. Its neighbours
-// count, since a usual time may lie at its edge.
+// usual reports whether first calls come with the time of a bucket.
 func (c *Callers) usual(b int) bool {
-	return c.counts[b]+c.counts[b-1]+c.counts[b+1] >= usualShare*c.total && c.counts[b] >= usualShare*c.total/3
+	return c.counts[b] >= ownShare*c.total && c.counts[b]+c.counts[b-1]+c.counts[b+1] >= usualShare*c.total
 }
