Write servers' entries in one place of the stand-ins

Cause: the names of the platform's entries stood in bench/capacity as well, against the rule that only platform/ and deploy/ know them (grep for the wire's names). Change: fake.Entry, which the stand-in server and the bench share. Conclusion: the only other match is the product's own Baobab-Deadline-Ms.

--- a/bench/capacity/gateways.go
+++ b/bench/capacity/gateways.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
@@ -103,11 +102,11 @@
 // write writes the entry of a server that is still slow from its start.
 func (f *gatewayFleet) write(i int) {
 	f.writes++
-	value, _ := json.Marshal(map[string]any{ // the values are plain
-		"service": string(rune('a' + i%3)), "address": fmt.Sprintf("127.0.%d.%d:9", i/250, i%250), "zone": fmt.Sprintf("z%d", i/3%3),
-		"version": "v1", "slots": 6, "state": "ready", "warmup_left": fmt.Sprintf("%dms", f.writes), "sequence": f.writes, "born": 1,
-	})
-	f.store.Put(fmt.Sprintf("servers/i-%08x", uint32(i)*2654435761), value) //nolint:gosec // a hash
+	id := uint32(i) * 2654435761 //nolint:gosec // a hash
+	f.store.Put(fake.Entry{
+		ID: fmt.Sprintf("i-%08x", id), Service: string(rune('a' + i%3)), Address: fmt.Sprintf("127.0.%d.%d:9", i/250, i%250),
+		Zone: fmt.Sprintf("z%d", i/3%3), Slots: 6, Warmup: time.Duration(f.writes) * time.Millisecond, Sequence: f.writes,
+	}.Item())
 }
 
 // warmUp lets every server write once a second.
