--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -92,15 +92,15 @@
 	}
 	order := usable(svc.near, tried, demand, now)
 	order = append(order[:min(len(order), askNear)], usable(svc.far, tried, demand, now)...)
-	most := askMost
-	if svc.state.asks.Scarce(d.probeRate(svc), now) {
+	most, rate := askMost, d.probeRate(svc)
+	if svc.state.asks.Scarce(rate, now) {
 		most = askSparing
 	}
 	order = order[:min(most, len(order))]
 	var best *offer
 	for len(order) > 0 && (best == nil || !best.candidate.Good(demand)) {
 		n := min(askAtOnce, len(order))
-		found, allowed := d.ask(ctx, svc, order[:n], demand)
+		found, allowed := d.ask(ctx, svc, order[:n], demand, rate)
 		if !allowed {
 			break
 		}
@@ -120,14 +120,15 @@
 	if svc.state.mute.Load() {
 		return d.guess(ctx, svc, demand, tried, now)
 	}
-	if !svc.state.asks.Spare(d.probeRate(svc), now) {
+	rate := d.probeRate(svc)
+	if !svc.state.asks.Spare(rate, now) {
 		return nil
 	}
 	order := usable(svc.near, tried, demand, now)
 	if len(order) < askAtOnce {
 		order = append(order, usable(svc.far, tried, demand, now)...)
 	}
-	found, _ := d.ask(ctx, svc, order[:min(askAtOnce, len(order))], demand)
+	found, _ := d.ask(ctx, svc, order[:min(askAtOnce, len(order))], demand, rate)
 	return found
 }
 
@@ -148,9 +149,10 @@
 }
 
 // ask sends health checks side by side and returns the best server that answers.
-// Allowed is false if the budget of health checks is used up.
-func (d *dispatcher) ask(ctx context.Context, svc *service, targets []*target, demand placement.Demand) (best *offer, allowed bool) {
-	if !svc.state.asks.Take(len(targets), d.probeRate(svc), time.Now()) {
+// Rate is how many of them this gateway may send a second; allowed is false if they
+// are used up.
+func (d *dispatcher) ask(ctx context.Context, svc *service, targets []*target, demand placement.Demand, rate float64) (best *offer, allowed bool) {
+	if !svc.state.asks.Take(len(targets), rate, time.Now()) {
 		d.metrics.unasked.Inc()
 		return nil, false
 	}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -138,7 +138,6 @@
 		return d.watched(ctx, s, o)
 	}
 	index := s.begin(o)
-	d.metrics.sends.Inc()
 	result := d.exchange(ctx, s.request, o)
 	s.trace.ended(index, result)
 	return result
@@ -156,6 +155,7 @@
 // exchange sends a request and waits for its end. It is safe to run beside other
 // sends of the request.
 func (d *dispatcher) exchange(ctx context.Context, r *request, o *offer) upstream.Result {
+	d.metrics.sends.Inc()
 	begin := time.Now()
 	call := r.call
 	call.Deadline = r.deadline
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -67,11 +67,10 @@
 func (h *handler) newRequest(r *http.Request, s *snapshot, route *routing.Route, id string, received time.Time) (*request, answer) {
 	timeout, waited := route.Timeout, time.Duration(0)
 	if text := r.Header.Get(h.options.Dialect.Deadline); text != "" {
-		ms, err := strconv.ParseInt(text, 10, 32)
-		if err != nil || ms < 0 {
+		left, err := parseDeadline(text)
+		if err != nil || left < 0 {
 			return nil, answer{status: http.StatusBadRequest, reason: "bad-deadline"}
 		}
-		left := time.Duration(ms) * time.Millisecond
 		timeout, waited = min(timeout, left), h.dispatcher.callers(route).Waited(left)
 	}
 	body, err := io.ReadAll(r.Body)
@@ -88,6 +87,12 @@
 	}, answer{}
 }
 
+// parseDeadline reads how long a caller waits, in milliseconds.
+func parseDeadline(text string) (time.Duration, error) {
+	ms, err := strconv.ParseInt(text, 10, 32)
+	return time.Duration(ms) * time.Millisecond, err
+}
+
 // goldenRatio spreads the points of a sequence evenly, so that the shares of a
 // split hold over few requests.
 const goldenRatio = 0.6180339887498949
--- a/internal/gateway/starting.go
+++ b/internal/gateway/starting.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strconv"
 	"sync/atomic"
 	"time"
 )
@@ -53,8 +52,8 @@
 		return s
 	}
 	most := min(startingWait, time.Until(l.started.Add(startingFor)))
-	if ms, err := strconv.ParseInt(r.Header.Get(deadlineHeader), 10, 32); err == nil {
-		most = min(most, time.Duration(startingShare*float64(ms))*time.Millisecond)
+	if left, err := parseDeadline(r.Header.Get(deadlineHeader)); err == nil {
+		most = min(most, time.Duration(startingShare*float64(left)))
 	}
 	if most <= 0 {
 		return nil
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -60,7 +60,6 @@
 // trace.
 func (d *dispatcher) launch(ctx context.Context, s *sending, o *offer, ended chan<- leg) int {
 	index := s.begin(o)
-	d.metrics.sends.Inc()
 	go func() { ended <- leg{index: index, result: d.exchange(ctx, s.request, o)} }()
 	return index
 }
