discovery: Stay with the store for five seconds only after a lost source

Cause: gateways that start together find others not listening yet. Each refusal counted as a source that had failed, so leaders stayed with the store for five seconds instead of one and read it side by side.

Change: only the failure of a gateway that had answered as a source counts.

--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -46,7 +46,8 @@
 	snapshotAge = time.Second
 	// minStoreTime is how long a gateway that is not the reader stays with the store
 	// before it follows another gateway again. minStoreTimePeersDown replaces
-	// minStoreTime if another gateway failed within the last minStoreTimePeersDown.
+	// minStoreTime if a gateway that had answered as a source failed within the last
+	// minStoreTimePeersDown.
 	minStoreTime          = time.Second
 	minStoreTimePeersDown = 5 * time.Second
 	// nonLeaderDelay is how much longer than the leader of a data centre its other
@@ -144,6 +145,7 @@
 	lastSessionID int
 	storeEndedAt  time.Time // the end of the last session with the store
 	peerFailedAt  time.Time // the last failure of another gateway
+	peerLostAt    time.Time // the last failure of another gateway that had answered
 	// peerFailures counts the failures of other gateways since one answered.
 	peerFailures int
 	// leader is Roles.Leader or Roles.ReadsStore at the latest choice of a source.
@@ -322,7 +324,7 @@
 		return roles.ReadsStore || f.stale(roles)
 	case s.source.Direct():
 		minTime := minStoreTime
-		if now.Sub(f.peerFailedAt) < minStoreTimePeersDown {
+		if now.Sub(f.peerLostAt) < minStoreTimePeersDown {
 			minTime = minStoreTimePeersDown
 		}
 		return !roles.ReadsStore && s.answered && now.Sub(s.startedAt) > minTime
@@ -426,6 +428,9 @@
 	case !s.source.Direct():
 		f.peerFailedAt = now
 		f.peerFailures++
+		if s.answered {
+			f.peerLostAt = now
+		}
 		return
 	case errors.Is(err, ErrHistoryLost):
 		f.resumable = false
