placement: Hedge lost calls only, and keep to few connections

A call was hedged after 1.3 times the expected time if a later hedge missed the objective; work varies by a third of itself, so one call in eight takes that long.

Change: the spread of a route's run times is learned with the run time. A call is hedged when it takes longer than 98 in 100 and a hedge leaves a good chance to meet the objective, else when it has probably been lost. Servers to which a connection is idle are checked before others that are as promising, so an entry with four calls a second keeps to few and widens when they are slow or full.

--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -67,19 +67,20 @@
 // a group the most promising first. It omits servers in backoff and those already tried.
 func eligibleTargets(from []*target, tried map[*upstream.Server]bool, demand placement.Demand, now time.Time) []*target {
 	type ranked struct {
-		t    *target
-		rank placement.Rank
+		t     *target
+		order int
 	}
 	list := make([]ranked, 0, len(from))
 	for _, t := range from {
 		if !tried[t.server] && !t.health.inBackoff(now) {
-			list = append(list, ranked{t, placement.RankServer(t.candidate(now), now.Sub(t.health.loadAt()), demand)})
+			rank := placement.RankServer(t.candidate(now), now.Sub(t.health.loadAt()), demand)
+			list = append(list, ranked{t, placement.CheckOrder(rank, t.server.HasIdle())})
 		}
 	}
 	for rest := list; len(rest) > 0; {
 		group := rest[:min(rankGroupSize, len(rest))]
 		rand.Shuffle(len(group), func(i, j int) { group[i], group[j] = group[j], group[i] })
-		slices.SortStableFunc(group, func(a, b ranked) int { return cmp.Compare(a.rank, b.rank) })
+		slices.SortStableFunc(group, func(a, b ranked) int { return cmp.Compare(a.order, b.order) })
 		rest = rest[len(group):]
 	}
 	out := make([]*target, 0, len(list))
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -76,9 +76,10 @@
 // demand returns the request's expected work and remaining time, as of now.
 func (d *dispatcher) demand(r *request) placement.Demand {
 	now := time.Now()
-	serviceTime, crowdedFactor := d.serviceTimes(r.route).Estimate()
+	estimator := d.serviceTimes(r.route)
+	serviceTime, crowdedFactor := estimator.Estimate()
 	return placement.Demand{
-		ServiceTime: serviceTime, CrowdedFactor: crowdedFactor,
+		ServiceTime: serviceTime, CrowdedFactor: crowdedFactor, Spread: estimator.Spread(),
 		Objective: max(r.objectiveEnd.Sub(now), time.Millisecond),
 		TimeLeft:  r.deadline.Sub(now),
 	}
--- a/internal/placement/estimate.go
+++ b/internal/placement/estimate.go
@@ -49,6 +49,8 @@
 	// CrowdedFactor is the ratio of the run time at a nearly full server to the service
 	// time.
 	CrowdedFactor float64
+	// Spread is the standard deviation of the run time as a share of the service time.
+	Spread float64
 	// Objective is the time until the latency target, TimeLeft the time until the
 	// deadline, after which the caller no longer waits. Both count from now.
 	Objective, TimeLeft time.Duration
@@ -151,6 +153,23 @@
 	RankPoor
 )
 
+// CheckOrder returns the position of a server in the order of health checks, lowest
+// first. A server to which a connection is idle goes before others that are as promising
+// or of unknown load, so that an entry with few calls keeps to few connections. An entry
+// that finds these servers slow or full goes on to others.
+func CheckOrder(rank Rank, idle bool) int {
+	switch {
+	case rank == RankPoor && idle:
+		return 4
+	case rank == RankPoor:
+		return 5
+	case idle:
+		return int(rank)
+	default:
+		return int(rank) + 2
+	}
+}
+
 // loadValidFor is how long a reported load is used to rank a server, since load shifts
 // within a few hundred milliseconds.
 const loadValidFor = 200 * time.Millisecond
--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -268,15 +269,57 @@
 // A server hangs during a call. The hedge must come early enough to meet the objective,
 // and must not go to a server that is slow or full.
 func TestOverdueCallIsHedgedWithinTheObjective(t *testing.T) {
-	d := Demand{ServiceTime: 60 * time.Millisecond, CrowdedFactor: 1.7, Objective: 200 * time.Millisecond, TimeLeft: 500 * time.Millisecond}
+	d := Demand{ServiceTime: 60 * time.Millisecond, CrowdedFactor: 1.7, Spread: 0.3, Objective: 200 * time.Millisecond, TimeLeft: 500 * time.Millisecond}
 	c := Candidate{Slots: 3, Slowness: 1}
 	assert.Assert(t, HedgeDelay(c, d)+d.ServiceTime <= d.Objective)
-	assert.Assert(t, HedgeDelay(c, d) > time.Duration(minHedgeFactor*float64(d.ServiceTime)))
+	assert.Assert(t, HedgeDelay(c, d) > time.Duration(1.3*float64(d.ServiceTime)))
 	assert.Assert(t, ShouldHedge(Candidate{Running: 1, Slots: 3, Slowness: 1}, d))
 	assert.Assert(t, !ShouldHedge(Candidate{Running: 3, Slots: 3, Slowness: 1}, d), "no free slot")
 	assert.Assert(t, !ShouldHedge(Candidate{Slots: 3, Slowness: 7}, d), "slow server")
 }
 
+// Run times differ by a third although no server is in trouble. A hedge of a call that only
+// takes longer than others ends a connection and gains nothing; a hung call must be hedged
+// in time where the objective allows it.
+func TestCallsThatOnlyTakeLongerAreNotHedged(t *testing.T) {
+	const maxUseless = 0.03
+	for _, route := range []struct {
+		service, objective time.Duration
+		hedgeInTime        bool
+	}{
+		{60 * time.Millisecond, 200 * time.Millisecond, true},
+		{110 * time.Millisecond, 300 * time.Millisecond, true},
+		{150 * time.Millisecond, 400 * time.Millisecond, true},
+		{530 * time.Millisecond, 1200 * time.Millisecond, false},
+		{1300 * time.Millisecond, 3000 * time.Millisecond, false},
+	} {
+		rng := rand.New(rand.NewPCG(4, uint64(route.service)))
+		estimator := NewServiceTimeEstimator(route.objective)
+		idle := Candidate{Slots: 6, Slowness: 1}
+		hedged, inTime := 0, 0
+		const calls = 4000
+		for i := range calls + 100 {
+			took := time.Duration(float64(route.service) * max(0.1, 1+0.3*rng.NormFloat64()))
+			serviceTime, crowded := estimator.Estimate()
+			d := Demand{ServiceTime: serviceTime, CrowdedFactor: crowded, Spread: estimator.Spread(), Objective: route.objective, TimeLeft: 3 * route.objective}
+			delay := HedgeDelay(idle, d)
+			estimator.Observe(took, idle)
+			if i < 100 {
+				continue // the estimates settle
+			}
+			if took > delay {
+				hedged++
+			}
+			if delay+serviceTime <= route.objective {
+				inTime++
+			}
+		}
+		t.Logf("%s of %s: %.3f hedged", route.service, route.objective, float64(hedged)/calls)
+		assert.Assert(t, float64(hedged)/calls <= maxUseless, "%s: %d of %d calls hedged", route.service, hedged, calls)
+		assert.Equal(t, inTime > calls/2, route.hedgeInTime, route.service.String())
+	}
+}
+
 // Slow and nearly full servers run calls for longer. Neither may change the estimate of the
 // service time at a server of usual speed.
 func TestServiceTimeExcludesSlowAndCrowdedServers(t *testing.T) {
--- a/internal/placement/rescue.go
+++ b/internal/placement/rescue.go
@@ -3,13 +3,13 @@
 import "time"
 
 const (
-	// maxHedgeFactor is the multiple of the expected latency after which a call is hedged:
-	// 3 % of the calls take that long at a server whose load and speed do not change.
-	maxHedgeFactor = 1.8
-	// minHedgeFactor is the multiple of the expected latency from which a call is hedged if
-	// a later hedge would miss the objective.
-	minHedgeFactor = 1.3
-	// hedgeTimeFactor is the expected time of a hedge as a multiple of the service time.
+	// overdueSpreads is how many standard deviations above the expected latency a call is
+	// overdue. Of calls whose server works as usual, 2 % take that long.
+	overdueSpreads = 2.0
+	// lostSpreads is how many standard deviations above the expected latency a call has
+	// probably been lost: one in a thousand takes that long otherwise.
+	lostSpreads = 3.0
+	// hedgeTimeFactor is the time to allow for a hedge, as a multiple of the service time.
 	hedgeTimeFactor = 1.4
 	// retryDelayShare is the pause before the next search for a second server, as a share
 	// of the service time.
@@ -18,15 +18,24 @@
 	maxSearches = 4
 )
 
-// HedgeDelay returns the time after which a call sent to the candidate is overdue. By
-// then its server has probably turned slow, hangs, or has lost the answer.
+// HedgeDelay returns the time after which a call sent to the candidate is hedged: as soon
+// as it is overdue if a hedge then leaves a good chance to meet the objective, at the
+// latest when it has probably been lost. A hedge of a call that only takes longer than
+// others occupies a second server for nothing, and ends a connection.
 func HedgeDelay(c Candidate, d Demand) time.Duration {
 	expected := float64(c.ExpectedLatency(d))
-	if d.MissesObjective() {
-		return time.Duration(maxHedgeFactor * expected)
+	overdue, lost := expected*(1+overdueSpreads*d.Spread), float64(LostAfter(c, d))
+	if float64(d.Objective-d.ServiceTime) < overdue {
+		return time.Duration(lost)
 	}
-	latestUseful := float64(d.Objective) - hedgeTimeFactor*float64(d.ServiceTime)
-	return time.Duration(max(minHedgeFactor*expected, min(maxHedgeFactor*expected, latestUseful)))
+	inTime := float64(d.Objective) - hedgeTimeFactor*float64(d.ServiceTime)
+	return time.Duration(max(overdue, min(lost, inTime)))
+}
+
+// LostAfter returns the time after which a call sent to the candidate has probably been
+// lost, or its server hangs.
+func LostAfter(c Candidate, d Demand) time.Duration {
+	return time.Duration(float64(c.ExpectedLatency(d)) * (1 + lostSpreads*d.Spread))
 }
 
 // HedgeRetryDelay returns the pause before the next search for a second server, and
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -89,6 +89,13 @@
 	p.idle = kept
 }
 
+func (p *pool) hasIdle(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closeStale(now)
+	return len(p.idle) > 0
+}
+
 // put returns a connection to the pool, or closes it if it can't be reused.
 func (p *pool) put(c *conn) {
 	p.mu.Lock()
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -48,6 +48,9 @@
 // SetConnectionLimit limits the open connections; 0 means unlimited.
 func (s *Server) SetConnectionLimit(limit int) { s.pool.setLimit(limit) }
 
+// HasIdle reports whether a connection is idle.
+func (s *Server) HasIdle() bool { return s.pool.hasIdle(time.Now()) }
+
 // InFlight returns the number of calls of this process at the server.
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
 
