upstream: Give up answers without end early

Cause: a server in trouble may send bytes that are no answer until the caller closes. Up to 64 MiB were read of each head and of each body, and the rest of an oversized body once more when it was closed; nothing counted the memory. Twelve calls took 166 MB of a VM of 200 MB, and a call to such a server lasted until its deadline. A call that ended at its deadline did not count against its server.

Change: the head is limited by itself (64 KiB), a body to a quarter of the memory set aside for answers (0.15 of the VM's), which all answers share; the buffer grows with the bytes that arrive. Answers to health checks are limited to 64 KiB. What exceeds a limit closes the connection at once, counts as a failed call of the server and leaves the call's end unknown, so only idempotent calls go to another server.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/baobabstack/baobabstack/internal/defect"
 	"github.com/baobabstack/baobabstack/internal/placement"
 	"github.com/baobabstack/baobabstack/internal/routing"
@@ -25,6 +27,7 @@
 	// caller's first attempt, which may have been sent to another gateway.
 	objectiveEnd time.Time
 	trace        *trace
+	answers      *answerMemory
 }
 
 // answer is the response to the caller. The reason is only logged.
@@ -162,7 +165,7 @@
 	d.metrics.sends.Inc()
 	begin := time.Now()
 	call := r.call
-	call.Deadline = r.deadline
+	call.Deadline, call.Reserve = r.deadline, r.answers.reserve
 	result := ls.lease.Send(ctx, &call)
 	d.recordResult(ctx, r, ls, &result, time.Since(begin))
 	d.offerToQueue(r.service, ls, &result)
@@ -185,6 +188,12 @@
 // requests.
 const maxHandoffSlowness = 2.0
 
+// outlasted reports whether a call without an answer ended at its deadline although the
+// server had more time than calls take.
+func (d *dispatcher) outlasted(ctx context.Context, r *request, ls *leasedServer, took time.Duration) bool {
+	return errors.Is(ctx.Err(), context.DeadlineExceeded) && took > placement.LostAfter(ls.candidate, d.demand(r))
+}
+
 // recordResult updates the health of the server, and the estimate of the route's service
 // time, with the result of a send.
 func (d *dispatcher) recordResult(ctx context.Context, req *request, ls *leasedServer, r *upstream.Result, took time.Duration) {
@@ -199,7 +208,7 @@
 		if ls.candidate.HasFreeSlot() {
 			d.serviceTimes(req.route).Observe(took, ls.candidate)
 		}
-	case ctx.Err() == nil || r.Outcome == upstream.Answered:
+	case ctx.Err() == nil || r.Outcome == upstream.Answered || d.outlasted(ctx, req, ls, took):
 		h.recordCall(true, took, now)
 	}
 }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -12,6 +12,7 @@
 
 	"github.com/baobabstack/baobabstack/internal/httpserver"
 	"github.com/baobabstack/baobabstack/internal/logs"
+	"github.com/baobabstack/baobabstack/internal/memory"
 	"github.com/baobabstack/baobabstack/internal/routing"
 	"github.com/baobabstack/baobabstack/internal/upstream"
 )
@@ -24,6 +25,7 @@
 	log          logs.Logger
 	metrics      *counters
 	splitCounter atomic.Uint64
+	answerBudget *memory.Budget
 }
 
 // limits returns the limits on callers' requests from the current configuration, or no
@@ -59,6 +61,7 @@
 	}
 	req, a := h.newRequest(r, s, route, id, received)
 	if req != nil {
+		defer req.answers.release()
 		a = h.dispatcher.dispatch(r.Context(), req)
 		h.recordAnswer(r.Context(), req, &a)
 	}
@@ -87,6 +90,7 @@
 			ID: id, Method: r.Method, Target: r.RequestURI, Head: upstreamHeader(r, h.options.Dialect), Body: body,
 		},
 		received: received, deadline: received.Add(timeout), objectiveEnd: received.Add(route.Objective - waited), trace: &trace{},
+		answers: &answerMemory{budget: h.answerBudget},
 	}, answer{}
 }
 
@@ -176,7 +180,10 @@
 }
 
 func newHandler(o *Options, m *counters) *handler {
-	h := &handler{options: o, current: newLatestSnapshot(o.started), log: logs.For("gateway"), metrics: m}
+	h := &handler{
+		options: o, current: newLatestSnapshot(o.started), log: logs.For("gateway"), metrics: m,
+		answerBudget: memory.NewBudget(answerMemoryBytes(o.Settings.VM.MemoryMB)),
+	}
 	h.splitCounter.Store(rand.Uint64N(1 << 20))
 	h.dispatcher = &dispatcher{options: o, metrics: m, routes: make(map[string]*routeState)}
 	return h
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -145,7 +145,7 @@
 	} else {
 		t.server = upstream.NewServer(upstream.Options{
 			ID: info.ID, Address: info.Address, HealthPath: configured.HealthPath,
-			MaxBodyBytes: r.options.MaxBodyBytes, Dialect: r.options.Dialect,
+			MaxBodyBytes: maxAnswerBytes(r.options.MaxBodyBytes, r.options.Settings.VM.MemoryMB), Dialect: r.options.Dialect,
 		})
 		t.health = &health{}
 		t.checkOrder = r.checkOrder(info.ID)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -38,7 +38,8 @@
 	Decoder discovery.Decoder
 	// Members is the table of the fleet's gateways. Run sets it.
 	Members *fleet.Members
-	// MaxBodyBytes bounds request and response bodies. The default is 64 MiB.
+	// MaxBodyBytes bounds request and response bodies. The default is 64 MiB; answers of
+	// servers are bounded by the VM's memory as well.
 	MaxBodyBytes int
 
 	started time.Time
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -17,8 +17,15 @@
 )
 
 const (
-	// maxHeadBytes limits the head of each answer, interim answers included.
+	// maxHeadBytes limits the head of each answer, interim answers included, and what
+	// frames its body beside the body itself.
 	maxHeadBytes = 64 << 10
+	// maxCheckBodyBytes limits the body of an answer to a health check.
+	maxCheckBodyBytes = 64 << 10
+	// minBodyBuffer is the first size of the buffer for a body. It grows with the bytes
+	// that arrive, whatever length the server states. Only the growth is reserved, so
+	// that a few large answers don't keep small ones out.
+	minBodyBuffer = 4 << 10
 	// maxAnswersRead limits the answers read for one request. Interim answers and late
 	// answers to other requests count too.
 	maxAnswersRead = 8
@@ -32,6 +39,8 @@
 
 var (
 	errTooLarge       = errors.New("the answer's body exceeds max_body_bytes")
+	errHeadTooLarge   = errors.Errorf("the answer's head exceeds %d bytes", maxHeadBytes)
+	errNoMemory       = errors.New("the memory for answers is used up")
 	errTooManySkipped = errors.New("too many interim answers or answers to other calls")
 	errUpgrade        = errors.New("the server switched protocols, which was not requested")
 	errClosedEarly    = errors.New("the connection was closed before the answer")
@@ -94,17 +103,35 @@
 	return n, errors.WithStack(err)
 }
 
+// answerLimits bounds what is read of an answer.
+type answerLimits struct {
+	// bodyBytes is the largest body.
+	bodyBytes int
+	// reserve is asked for memory before the buffer of a body grows by that many bytes;
+	// nil allows all.
+	reserve func(bytes int) bool
+}
+
 // read returns the answer to the last request. It skips interim answers, and answers for
-// which matches returns false.
-func (c *conn) read(method string, maxBody int, matches func(status int, h http.Header) bool) (response, error) {
+// which matches returns false. It stops reading at the limits, so that a server that
+// sends without end costs no more than the largest answer.
+func (c *conn) read(method string, limits answerLimits, matches func(status int, h http.Header) bool) (response, error) {
 	request := &http.Request{Method: method}
 	for range maxAnswersRead {
-		c.limited.N = int64(maxHeadBytes + maxBody)
+		c.limited.N = maxHeadBytes
 		res, err := http.ReadResponse(c.reader, request)
 		if err != nil {
+			if c.limited.N <= 0 {
+				err = errHeadTooLarge
+			}
 			return response{}, errors.Wrap(err, "read the answer")
 		}
-		body, err := readBody(res, maxBody)
+		c.limited.N = int64(limits.bodyBytes) + maxHeadBytes
+		body, err := readBody(res, limits)
+		if err != nil {
+			c.limited.N = 0 // Close would read the rest of the body
+		}
+		_ = res.Body.Close()
 		switch {
 		case err != nil:
 			return response{}, err
@@ -132,24 +159,45 @@
 	}
 }
 
-func readBody(res *http.Response, limit int) ([]byte, error) {
-	defer res.Body.Close()
-	if res.ContentLength > int64(limit) {
+// readBody returns the whole body, or an error if it is incomplete, exceeds the limits or
+// finds no memory.
+func readBody(res *http.Response, limits answerLimits) ([]byte, error) {
+	if res.ContentLength > int64(limits.bodyBytes) {
 		return nil, errors.WithStack(errTooLarge)
 	}
-	if res.ContentLength >= 0 {
-		body := make([]byte, res.ContentLength)
-		n, err := io.ReadFull(res.Body, body)
-		if defect.On("gateway-pass-cut-answers") {
-			return body[:n], nil
+	if res.ContentLength == 0 {
+		return nil, nil
+	}
+	var body []byte
+	for {
+		if len(body) == cap(body) {
+			size := bodyBufferSize(len(body), int(res.ContentLength), limits.bodyBytes)
+			if len(body) > 0 && limits.reserve != nil && !limits.reserve(size-len(body)) {
+				return nil, errors.WithStack(errNoMemory)
+			}
+			body = append(make([]byte, 0, size), body...)
+		}
+		n, err := res.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case len(body) > limits.bodyBytes:
+			return nil, errors.WithStack(errTooLarge)
+		case errors.Is(err, io.EOF), err != nil && defect.On("gateway-pass-cut-answers"):
+			return body, nil
+		case err != nil:
+			return nil, errors.Wrap(err, "read the answer's body")
 		}
-		return body, errors.Wrap(err, "read the answer's body")
 	}
-	body, err := io.ReadAll(io.LimitReader(res.Body, int64(limit)+1))
-	if err == nil && len(body) > limit {
-		err = errTooLarge
+}
+
+// bodyBufferSize returns the next size of a full buffer of the given size. It ends one
+// byte above the stated length or the limit, so that the last read finds the end.
+func bodyBufferSize(full, stated, limit int) int {
+	last := limit + 1
+	if stated > 0 {
+		last = stated + 1
 	}
-	return body, errors.Wrap(err, "read the answer's body")
+	return min(max(2*full, minBodyBuffer), max(last, full+1))
 }
 
 // keepAlive returns the timeout parameter of a Keep-Alive header.
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -133,7 +133,7 @@
 	if _, err := c.write(s.checkRequest, deadline); err != nil {
 		return response{}, err
 	}
-	return c.read(http.MethodGet, s.options.MaxBodyBytes, func(_ int, h http.Header) bool {
+	return c.read(http.MethodGet, answerLimits{bodyBytes: maxCheckBodyBytes}, func(_ int, h http.Header) bool {
 		return h.Get(s.options.Dialect.CallID) == ""
 	})
 }
@@ -227,6 +227,9 @@
 	Body []byte
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
+	// Reserve is asked for memory before the buffer of the answer's body grows by that
+	// many bytes. If it returns false the answer is given up; nil allows all.
+	Reserve func(bytes int) bool
 }
 
 var (
@@ -264,7 +267,7 @@
 		return Result{Err: err}
 	}
 	d := s.options.Dialect
-	m, err := l.conn.read(call.Method, s.options.MaxBodyBytes, func(_ int, h http.Header) bool {
+	m, err := l.conn.read(call.Method, answerLimits{bodyBytes: s.options.MaxBodyBytes, reserve: call.Reserve}, func(_ int, h http.Header) bool {
 		id := h.Get(d.CallID)
 		return id == "" || id == call.ID
 	})
