placement: Use the fleet's retry budget whole, and stay in the data centre

Cause: at 472 gateways a gateway is allowed about five extra sends in ten seconds, of which rounding down loses half a send each, and half of the slack was kept as a margin for a count of the fleet that was far off.

If the best of six local servers is free but slow or failing, more local servers are checked; other data centres are checked if it is full.

--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -21,8 +21,8 @@
 	// slow, all servers of a group are slow once in several hundred cases.
 	rankGroupSize = 6
 	// maxLocalChecks is the maximum number of checks for one send in the gateway's own
-	// data centre. It is less than maxChecks, so that a request finds a free server
-	// elsewhere when its data centre is full.
+	// data centre before others are considered. It is less than maxChecks, so that a
+	// request finds a free server elsewhere when its data centre is full.
 	maxLocalChecks = 6
 	// maxChecks is the maximum number of checks for one send in all data centres.
 	maxChecks = 8
@@ -90,8 +90,9 @@
 	return out
 }
 
-// findServer checks servers of the gateway's own data centre, then others if no local
-// server is good, and returns the best one. It chooses a server without a check if no
+// findServer checks servers of the gateway's own data centre until one is good. If none
+// is, it checks others: in other data centres if the best one found is full, else more of
+// its own. It returns the best one. It chooses a server without a check if no
 // checked server accepts requests, if the service's servers don't report their load, or
 // if the budget of checks is used up. It returns nil if no connection can be opened.
 func (d *dispatcher) findServer(ctx context.Context, svc *service, demand placement.Demand, tried map[*upstream.Server]bool) *leasedServer {
@@ -99,14 +100,30 @@
 	if svc.state.loadUnreported.Load() {
 		return d.chooseUnchecked(ctx, svc, demand, tried, now)
 	}
-	order := eligibleTargets(svc.local, tried, demand, now)
-	order = append(order[:min(len(order), maxLocalChecks)], eligibleTargets(svc.remote, tried, demand, now)...)
 	limit, rate := maxChecks, d.checkRate(svc)
 	if svc.state.checkBudget.RunningLow(rate, now) {
 		limit = maxChecksWhenScarce
 	}
-	order = order[:min(limit, len(order))]
-	var best *leasedServer
+	local := eligibleTargets(svc.local, tried, demand, now)
+	first := min(maxLocalChecks, limit, len(local))
+	best := d.checkUntilGood(ctx, svc, local[:first], nil, demand, rate)
+	if best == nil || !best.candidate.Good(demand) {
+		more := local[first:]
+		if best == nil || placement.NeedsRemote(best.candidate) || len(more) == 0 {
+			more = eligibleTargets(svc.remote, tried, demand, now)
+		}
+		best = d.checkUntilGood(ctx, svc, more[:min(limit-first, len(more))], best, demand, rate)
+	}
+	if best != nil {
+		return best
+	}
+	return d.chooseUnchecked(ctx, svc, demand, tried, now)
+}
+
+// checkUntilGood checks servers in the given order, concurrentChecks at a time, until the
+// best found so far is good or the budget of checks is used up. It returns the best, which
+// may be the given one or nil.
+func (d *dispatcher) checkUntilGood(ctx context.Context, svc *service, order []*target, best *leasedServer, demand placement.Demand, rate float64) *leasedServer {
 	for len(order) > 0 && (best == nil || !best.candidate.Good(demand)) {
 		n := min(concurrentChecks, len(order))
 		found, allowed := d.checkTargets(ctx, svc, order[:n], demand, rate)
@@ -116,10 +133,7 @@
 		best = better(best, found, demand)
 		order = order[n:]
 	}
-	if best != nil {
-		return best
-	}
-	return d.chooseUnchecked(ctx, svc, demand, tried, now)
+	return best
 }
 
 // findForQueued checks a few servers for a request in the queue. The last health checks
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -85,7 +85,7 @@
 
 // retrySlackShare is the share of the retry slack that is used. The rest is a margin,
 // because a gateway knows only approximately how many gateways share the slack.
-const retrySlackShare = 0.5
+const retrySlackShare = 0.7
 
 // dispatchState is the state of a request across its sends.
 type dispatchState struct {
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -122,7 +123,7 @@
 		return s
 	}
 	b := r.options.Settings.Budgets
-	s := &serviceState{retryBudget: placement.NewRetryBudget(b.RetryRatio, b.RetryWindow.Duration)}
+	s := &serviceState{retryBudget: placement.NewRetryBudget(b.RetryRatio, b.RetryWindow.Duration, 1-rand.Float64())}
 	r.services[name] = s
 	return s
 }
--- a/internal/placement/budget.go
+++ b/internal/placement/budget.go
@@ -19,6 +19,7 @@
 type RetryBudget struct {
 	mu         sync.Mutex
 	ratio      float64
+	rounding   float64
 	step       time.Duration
 	calls      [windowSteps]int
 	extraSends [windowSteps]int
@@ -27,9 +28,12 @@
 }
 
 // NewRetryBudget returns a budget that allows ratio extra sends per call in any
-// window.
-func NewRetryBudget(ratio float64, window time.Duration) *RetryBudget {
-	return &RetryBudget{ratio: ratio * usableRatioShare, step: window / (windowSteps - 1)}
+// window. Rounding, from above 0 to 1, is the part of a send that must be allowed before a
+// send is made. With 1 the budget is never exceeded, but entries that are allowed a few
+// sends each leave half a send unused on average. With random values the budgets of many
+// entries together are used whole.
+func NewRetryBudget(ratio float64, window time.Duration, rounding float64) *RetryBudget {
+	return &RetryBudget{ratio: ratio * usableRatioShare, rounding: rounding, step: window / (windowSteps - 1)}
 }
 
 // CountCall records a call, which adds to the budget.
@@ -52,7 +56,7 @@
 		calls += b.calls[i]
 		extra += b.extraSends[i]
 	}
-	if float64(extra+1) > b.ratio*float64(calls)+slack {
+	if float64(extra)+b.rounding > b.ratio*float64(calls)+slack {
 		return false
 	}
 	b.extraSends[b.current]++
--- a/internal/placement/estimate.go
+++ b/internal/placement/estimate.go
@@ -153,6 +153,11 @@
 	RankPoor
 )
 
+// NeedsRemote reports whether servers of other data centres should be checked, given the
+// best local one. A local server that is free but slow or failing is no reason: calls to
+// other data centres cost more than checks of more local servers.
+func NeedsRemote(best Candidate) bool { return !best.HasFreeSlot() }
+
 // CheckOrder returns the position of a server in the order of health checks, lowest
 // first. A server to which a connection is idle goes before others that are as promising
 // or of unknown load, so that an entry with few calls keeps to few connections. An entry
--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -215,7 +215,7 @@
 func TestRetriesStayWithinTheRatioInEachWindow(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const window, slack = 10 * time.Second, 3.0
-		b := NewRetryBudget(0.2, window)
+		b := NewRetryBudget(0.2, window, 1)
 		now := time.Unix(1000, 0)
 		type send struct {
 			when  time.Time
@@ -344,3 +344,51 @@
 	assert.Equal(t, RankServer(slow, time.Second, d), RankUnknown)
 	assert.Equal(t, RankServer(Candidate{Slots: 3, Slowness: 1, FailureRate: 0.5}, time.Second, d), RankPoor)
 }
+
+// Each of several hundred entries sees a few calls a second and is allowed a handful of
+// extra sends in a window. Rounded down in each of them, a large part of what the fleet may
+// send is never used while servers reject half of the calls.
+func TestFleetUsesItsRetryBudgetWhole(t *testing.T) {
+	const (
+		window           = 10 * time.Second
+		ratio, slack     = 0.2, 630.0
+		interval         = 861 * time.Microsecond // 1,161 calls a second
+		minUsed, maxUsed = 0.98, 1.0
+	)
+	for _, entries := range []int{17, 124, 472, 1738} {
+		rng := rand.New(rand.NewPCG(6, uint64(entries)))
+		budgets := make([]*RetryBudget, entries)
+		for i := range budgets {
+			budgets[i] = NewRetryBudget(ratio, window, 1-rng.Float64())
+		}
+		start := time.Unix(1000, 0)
+		calls, extra := 0, 0
+		for at := time.Duration(0); at < window; at += interval {
+			b, now := budgets[rng.IntN(entries)], start.Add(at)
+			b.CountCall(now)
+			calls++
+			for range 2 { // half of the calls are rejected, again and again
+				if rng.IntN(2) == 0 && b.Take(slack/float64(entries), now) {
+					extra++
+				}
+			}
+		}
+		for _, b := range budgets {
+			for b.Take(slack/float64(entries), start.Add(window)) {
+				extra++
+			}
+		}
+		usable := usableRatioShare*ratio*float64(calls) + slack
+		t.Logf("%d entries: %d extra sends of %.0f", entries, extra, usable)
+		assert.Assert(t, float64(extra) >= minUsed*usable, "%d entries: %d extra sends of %.0f", entries, extra, usable)
+		assert.Assert(t, float64(extra) <= maxUsed*(ratio*float64(calls)+slack), "%d entries: %d extra sends", entries, extra)
+	}
+}
+
+// All servers of the own data centre fail some of their calls. A server elsewhere of which
+// nothing bad is known looks better, but calls to it cost more than to check more local ones.
+func TestFailingLocalServersDoNotSendCallsAway(t *testing.T) {
+	assert.Assert(t, !NeedsRemote(Candidate{Running: 2, Slots: 6, Slowness: 1, FailureRate: 0.5}))
+	assert.Assert(t, !NeedsRemote(Candidate{Running: 2, Slots: 6, Slowness: 7}))
+	assert.Assert(t, NeedsRemote(Candidate{Running: 6, Waiting: 1, Slots: 6, Slowness: 1}))
+}
