upstream: Trust a rejection only if it names its call

A late second copy of an answer without a call id, for example of a health check's 503 or of another call's rejection, was taken for the answer to the next call on the connection: the caller was told that its call had not run while the server worked on it, or it was sent again. A server's 503, 429, 408 or 421 without the mark that it did not run the call was passed on, and callers take these for that promise. Copies that do name their call were already skipped, also call after call (tested now).

Change: an answer without the call's id leaves the end of the call unknown, and so does a status that promises more than the server says. Entries of members that claim more than 100,000 followers are ignored.

Ruled out by tests that pass on the old code: requests cut at a planned stop under load (TestStopUnderLoadCutsNoAcceptedRequest), work of a server started again or given up because its record lapsed (TestServerWithoutARecordFinishesItsWork), gossip that ends the process (FuzzGossip, 60,000 inputs).

The new cases of TestOutcomeOfAnswers fail on the old code.

--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -15,6 +15,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/baobabstack/baobabstack/internal/fleetwire"
+	"github.com/baobabstack/baobabstack/internal/logs"
 )
 
 const (
@@ -29,6 +30,9 @@
 	gossipMembers = 8
 	gossipLeaders = 5
 	gossipBeats   = 120
+	// maxFollowers is the most followers that an entry may claim, far above any data
+	// centre's.
+	maxFollowers = 100_000
 	// maxWanted bounds the entries that are requested at once, so that the reply fits
 	// into a frame.
 	maxWanted = 15
@@ -44,6 +48,7 @@
 // Members is this gateway's membership table: its own entry and those of the other
 // gateways it knows. It is safe for concurrent use.
 type Members struct {
+	log  logs.Logger
 	mu   sync.Mutex
 	self *fleetwire.Member
 	// storeUnreachableAt is when the store last failed to answer this gateway.
@@ -71,7 +76,7 @@
 
 // NewMembers returns a table that holds only this gateway's entry.
 func NewMembers(self *fleetwire.Member) *Members {
-	return &Members{self: self, known: make(map[string]*member), byHash: make(map[uint32]*member)}
+	return &Members{log: logs.For("fleet"), self: self, known: make(map[string]*member), byHash: make(map[uint32]*member)}
 }
 
 // Heartbeat increments this gateway's beat and returns a copy of its entry.
@@ -104,7 +109,7 @@
 
 // Merge takes over entries that are newer than the known ones, and removes members
 // whose last beat is older than forgetTimeout. Entries without an id or address are
-// ignored.
+// ignored, and so are those that claim more than maxFollowers.
 func (m *Members) Merge(entries []*fleetwire.Member, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -113,7 +118,8 @@
 			m.raiseIncarnation(n)
 			continue
 		}
-		if n.GetId() == "" || n.GetAddress() == "" {
+		if n.GetId() == "" || n.GetAddress() == "" || n.GetFollowers() > maxFollowers {
+			m.log.With("id", n.GetId()).With("address", n.GetAddress()).With("followers", n.GetFollowers()).Warnf("ignored an invalid entry of a member")
 			continue
 		}
 		old, ok := m.known[n.Id]
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -234,6 +234,8 @@
 
 var (
 	errUnsigned      = errors.New("the answer does not come from the server's application")
+	errNoCallID      = errors.New("the answer does not name the call that it belongs to")
+	errFalsePromise  = errors.New("the status promises that the call has not run, but the server does not say so")
 	errContentCoding = errors.New("the answer has a Content-Encoding, which was not requested")
 )
 
@@ -274,11 +276,15 @@
 	if err != nil {
 		return Result{Err: err}
 	}
+	if call.ID != "" && m.header.Get(d.CallID) == "" {
+		return Result{Err: errors.Wrapf(errNoCallID, "status %d", m.status)}
+	}
 	return s.classify(m)
 }
 
 // classify returns the result for an answer: NotRun for a rejection, Unknown for an answer
-// with a content coding and for a success without a signature, otherwise Answered.
+// with a content coding, for a success without a signature and for a status that callers
+// take as a rejection although the server has not rejected the call, otherwise Answered.
 func (s *Server) classify(m response) Result {
 	d := s.options.Dialect
 	r := Result{Outcome: Answered, Status: m.status, Header: m.header, Body: m.body}
@@ -292,6 +298,8 @@
 		return Result{Outcome: NotRun, Status: m.status, WrongServer: true, Err: errors.New("another server has the address")}
 	case m.header.Get(d.NotRun) != "" && !success:
 		return Result{Outcome: NotRun, Status: m.status, Load: r.Load, HasLoad: r.HasLoad, Err: errors.Errorf("the server rejected the call with status %d", m.status)}
+	case promisesNotRun(m.status):
+		return Result{Load: r.Load, HasLoad: r.HasLoad, Err: errors.Wrapf(errFalsePromise, "status %d", m.status)}
 	case m.header.Get("Content-Encoding") != "":
 		return Result{Err: errors.WithStack(errContentCoding)}
 	case success && m.header.Get(d.Signature) == "":
@@ -301,6 +309,17 @@
 	}
 }
 
+// promisesNotRun reports whether callers conclude from a status that the call has not run
+// and send it again.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // encode returns the request in wire format.
 func (s *Server) encode(call *Call) []byte {
 	d := s.options.Dialect
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -152,9 +152,13 @@
 		{"without a signature", "HTTP/1.1 200 OK\r\nCall-Id: c1\r\nContent-Length: 0\r\n\r\n", false, Unknown, ""},
 		{"with a content coding", "HTTP/1.1 200 OK\r\nCall-Id: c1\r\nSigned: y\r\nContent-Encoding: gzip\r\nContent-Length: 0\r\n\r\n", false, Unknown, ""},
 		{"application error", "HTTP/1.1 500 X\r\nCall-Id: c1\r\nSigned: y\r\nContent-Length: 0\r\n\r\n", false, Answered, ""},
-		{"rejected", "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", false, NotRun, ""},
-		{"503 without the Not-Run header", "HTTP/1.1 503 X\r\nCall-Id: c1\r\nContent-Length: 0\r\n\r\n", false, Answered, ""},
-		{"from another server", "HTTP/1.1 421 X\r\nServer-Id: s2\r\nContent-Length: 0\r\n\r\n", false, NotRun, ""},
+		{"rejected", "HTTP/1.1 503 X\r\nCall-Id: c1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", false, NotRun, ""},
+		{"a rejection that may be another call's", "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", false, Unknown, ""},
+		{"rejection of another call first", "HTTP/1.1 503 X\r\nCall-Id: c0\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n" + answerTo("c1", "hello"), false, Answered, "hello"},
+		{"503 without the Not-Run header", "HTTP/1.1 503 X\r\nCall-Id: c1\r\nContent-Length: 0\r\n\r\n", false, Unknown, ""},
+		{"429 without the Not-Run header", "HTTP/1.1 429 X\r\nCall-Id: c1\r\nSigned: y\r\nContent-Length: 0\r\n\r\n", false, Unknown, ""},
+		{"late answer to a health check", "HTTP/1.1 503 X\r\nServer-Id: s1\r\nContent-Length: 0\r\n\r\n", false, Unknown, ""},
+		{"from another server", "HTTP/1.1 421 X\r\nCall-Id: c1\r\nServer-Id: s2\r\nContent-Length: 0\r\n\r\n", false, NotRun, ""},
 		{"after an interim answer", "HTTP/1.1 100 Continue\r\n\r\n" + answerTo("c1", "hello"), false, Answered, "hello"},
 		{"too large", "HTTP/1.1 200 OK\r\nCall-Id: c1\r\nSigned: y\r\nContent-Length: 5000\r\n\r\n", false, Unknown, ""},
 	}
@@ -267,3 +271,25 @@
 		}
 	}
 }
+
+// A server sends the answer to a call twice, the second copy when the connection already
+// carries the next call. That call must get its own answer.
+func TestLateAnswerIsNotTakenForTheNextCall(t *testing.T) {
+	_, server := startFakeServer(t, func(_, request int) (string, bool) {
+		switch request {
+		case 1:
+			return healthAnswer, false
+		case 2:
+			return answerTo("c1", "first"), false
+		default:
+			return answerTo("c1", "first") + answerTo("c2", "second"), false
+		}
+	})
+	lease := mustProbe(t, server)
+	assert.Equal(t, string(lease.Send(context.Background(), newCall()).Body), "first")
+	next := newCall()
+	next.ID, next.Head = "c2", []byte("Host: h\r\nCall-Id: c2\r\n")
+	r := lease.Send(context.Background(), next)
+	assert.Equal(t, r.Outcome, Answered)
+	assert.Equal(t, string(r.Body), "second")
+}
