platform: Leave the store's link to fast gateways when a large fleet starts

Cause: when 472 gateways return from a loss of power at once, each lists 1,081 keys in three pages of the store, some 300 KB in JSON; the store's link takes over a second for them, and a gateway was ready 0.86 s after its start (half of them; 0.11 s with 110 gateways and one page). Gateways that followed a seed with a slow link stayed with it for 300 ms although leaders had data.

A source that has not answered within 60 ms is replaced as soon as a better one is known.

Also: other data centres are asked if the best local server is too slow to meet the objective, not only if it is full.

--- a/Makefile
+++ b/Makefile
@@ -97,3 +97,15 @@
 		echo "== $$defect"; \
 		if $(BIN)/soak --binary $(BIN)/defects/baobabstack --defect $$defect --seconds 25 --seed 1 --seed 2 | grep -E '^(seed|VIOLATION)' | head -3; then :; fi; \
 	done
+
+.PHONY: scores
+
+BENCH ?=
+DEPLOYMENTS ?=
+WHY ?=
+JOBS ?= 2
+
+# Quick scores of the users' deployments with their bench, one after the other:
+# make scores BENCH=PROGRAM DEPLOYMENTS="FILE ..." WHY="TEXT". Large ones need JOBS=1.
+scores:
+	@for site in $(DEPLOYMENTS); do $(BENCH) score $$site --quick --jobs $(JOBS) --why "$(WHY)" || exit 1; done
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -46,7 +46,7 @@
 		Settings: s,
 		Reload:   func() (*settings.Gateway, []error) { return settings.LoadGateway(file) },
 		Dialect:  platform.Dialect(),
-		Store:    platform.NewStore(s.Store.Address),
+		Store:    platform.NewStore(s.Store.Address, s.VM.LinkMbps),
 		Decoder:  platform.Decoder{},
 	}, reloadRequests(ctx))
 }
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -61,6 +61,10 @@
 	// minPeerTime is how long another gateway is followed before a better one replaces
 	// it, so that membership can settle.
 	minPeerTime = 2500 * time.Millisecond
+	// minUnansweredTime is how long a gateway that has not answered yet is given before a
+	// better one replaces it. In a fleet that starts at once, seeds with slow links keep
+	// many waiting while the leaders of data centres have data already.
+	minUnansweredTime = 60 * time.Millisecond
 	// peerBackoff is the pause after another gateway failed as a source. It doubles
 	// with each round in which all failed, up to peerBackoffMax: when a whole fleet
 	// starts at once, retries must not slow down the gateways that they wait for.
@@ -328,8 +332,10 @@
 			minTime = minStoreTimePeersDown
 		}
 		return !roles.ReadsStore && s.answered && now.Sub(s.startedAt) > minTime
+	case s.answered:
+		return now.Sub(s.startedAt) > minPeerTime
 	default:
-		return s.answered && now.Sub(s.startedAt) > minPeerTime
+		return now.Sub(s.startedAt) > minUnansweredTime
 	}
 }
 
--- a/internal/discovery/follower_test.go
+++ b/internal/discovery/follower_test.go
@@ -27,6 +27,8 @@
 	age time.Duration
 	// snapshots counts the calls of Snapshot.
 	snapshots int
+	// mute makes Run deliver nothing.
+	mute bool
 }
 
 func newFakeSource(name string, direct bool) *fakeSource {
@@ -55,6 +57,10 @@
 		return failure
 	}
 	full.Age = s.age
+	if s.mute {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	if resume == 0 {
 		deliver(full)
 	}
@@ -380,3 +386,19 @@
 	defer store.mu.Unlock()
 	assert.Equal(t, store.snapshots, 1)
 }
+
+// A fleet starts at once. A gateway first follows a seed that has hundreds waiting, and
+// then learns which gateway leads its data centre.
+func TestUnansweredSourceIsReplacedByABetterOne(t *testing.T) {
+	const bound = time.Second // minPeerTime would be 2.5 s
+	store, seed, leader := newFakeSource("store", true), newFakeSource("seed", false), newFakeSource("leader", false)
+	store.failure, seed.mute = errDown, true
+	h := startFollower(t, store, Roles{Sources: []Source{seed}})
+	waitFor(t, "the seed is followed", func() bool { return len(seed.resumeRevisions()) == 1 })
+	begin := time.Now()
+	h.mu.Lock()
+	h.roles = Roles{Sources: []Source{leader, seed}}
+	h.mu.Unlock()
+	waitFor(t, "listed", func() bool { return h.servers() == 1 })
+	assert.Assert(t, time.Since(begin) < bound, "%s", time.Since(begin))
+}
--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -91,8 +91,8 @@
 }
 
 // findServer checks servers of the gateway's own data centre until one is good. If none
-// is, it checks others: in other data centres if the best one found is full, else more of
-// its own. It returns the best one. It chooses a server without a check if no
+// is, it checks others: in other data centres if the best one found is full or far too slow,
+// else more of its own. It returns the best one. It chooses a server without a check if no
 // checked server accepts requests, if the service's servers don't report their load, or
 // if the budget of checks is used up. It returns nil if no connection can be opened.
 func (d *dispatcher) findServer(ctx context.Context, svc *service, demand placement.Demand, tried map[*upstream.Server]bool) *leasedServer {
@@ -109,7 +109,7 @@
 	best := d.checkUntilGood(ctx, svc, local[:first], nil, demand, rate)
 	if best == nil || !best.candidate.Good(demand) {
 		more := local[first:]
-		if best == nil || placement.NeedsRemote(best.candidate) || len(more) == 0 {
+		if best == nil || placement.NeedsRemote(best.candidate, demand) || len(more) == 0 {
 			more = eligibleTargets(svc.remote, tried, demand, now)
 		}
 		best = d.checkUntilGood(ctx, svc, more[:min(limit-first, len(more))], best, demand, rate)
--- a/internal/placement/estimate.go
+++ b/internal/placement/estimate.go
@@ -154,9 +154,12 @@
 )
 
 // NeedsRemote reports whether servers of other data centres should be checked, given the
-// best local one. A local server that is free but slow or failing is no reason: calls to
-// other data centres cost more than checks of more local servers.
-func NeedsRemote(best Candidate) bool { return !best.HasFreeSlot() }
+// best local one: if it is full, or too slow to meet the objective. That it failed calls or
+// is a little slow is no reason: calls to other data centres cost more than checks of more
+// local servers.
+func NeedsRemote(best Candidate, d Demand) bool {
+	return !best.HasFreeSlot() || !best.MeetsObjective(d)
+}
 
 // CheckOrder returns the position of a server in the order of health checks, lowest
 // first. A server to which a connection is idle goes before others that are as promising
