admin, gateway: Count as ready only once callers can connect

The admin listener is started before that for callers, and readiness asked only whether the lists are known, so a slow start, or a callers' address that is still in use, makes an entry ready that nobody can reach. A gateway had the same fault. Ruled out: an entry that ended (its first use in the test), a full queue of connections (the kernel drops, it doesn't refuse).

Change: readiness also asks whether the callers' listener is up.

Result: TestEntryIsNotReadyBeforeItListens (internal/supervisor/admin, platform) fails on the old code.

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -163,6 +163,7 @@
 	}
 	l.server.Store(server)
 	<-ctx.Done()
+	l.server.Store(nil)
 	server.Stop()
 	return ctx.Err()
 }
@@ -211,10 +212,10 @@
 	}
 }
 
-// ready answers 200 while the gateway has a configuration and is not stopping, else
-// 503.
+// ready answers 200 while the gateway accepts callers' connections, has a configuration
+// and is not stopping, else 503.
 func (s *stopper) ready(w http.ResponseWriter, _ *http.Request) {
-	if s.stopping.Load() || s.handler.current.get() == nil {
+	if s.stopping.Load() || s.callers.server.Load() == nil || s.handler.current.get() == nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/supervisor/admin/admin.go
+++ b/internal/supervisor/admin/admin.go
@@ -17,18 +17,20 @@
 
 // Service runs the admin listener under supervision.
 type Service struct {
-	address string
-	holder  *view.Holder
-	unready atomic.Bool
-	log     logs.Logger
+	address   string
+	holder    *view.Holder
+	listening func() bool
+	unready   atomic.Bool
+	log       logs.Logger
 }
 
 // SetUnready makes the readiness check fail from now on.
 func (s *Service) SetUnready() { s.unready.Store(true) }
 
-// NewService returns the admin service.
-func NewService(address string, holder *view.Holder) *Service {
-	return &Service{address: address, holder: holder, log: logs.For("admin")}
+// NewService returns the admin service. Listening reports whether the entry accepts
+// callers' connections; until then it isn't ready.
+func NewService(address string, holder *view.Holder, listening func() bool) *Service {
+	return &Service{address: address, holder: holder, listening: listening, log: logs.For("admin")}
 }
 
 const maxBodyBytes = 64 << 10
@@ -56,7 +58,7 @@
 }
 
 func (s *Service) ready(w http.ResponseWriter, _ *http.Request) {
-	if s.unready.Load() || !s.holder.Load().Ready {
+	if s.unready.Load() || !s.listening() || !s.holder.Load().Ready {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/supervisor/callers/service.go
+++ b/internal/supervisor/callers/service.go
@@ -61,6 +61,9 @@
 	}
 }
 
+// Listening reports whether connections are accepted.
+func (s *Service) Listening() bool { return s.server.Load() != nil }
+
 // Busy returns the number of requests that are not answered in full.
 func (s *Service) Busy() int {
 	if server := s.server.Load(); server != nil {
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -63,11 +63,11 @@
 	root := tree.New("entry", log)
 	root.Add(ctl)
 	addWatchers(root, s, holder, ctl, peerService)
-	operators := admin.NewService(s.Admin.Address, holder)
 	front, err := callers.NewService(s.Callers, handler)
 	if err != nil {
 		return err
 	}
+	operators := admin.NewService(s.Admin.Address, holder, front.Listening)
 	borrower := shares.NewService(book, holder, links, clock.Boot{}, func() bool { return ctl.Send(control.SharesUsable{}) })
 	add(root, prober.NewService(holder, clock.Boot{}), peerService, borrower, operators, front)
 
