fleet, placement: Take the window of the peak count from the settings

The highest count of the fleet was kept for 10 s whatever window the retry budget has, and CheckOrder returned bare numbers. Neither shows on the deployments at hand, whose window is 10 s.

Change: PeakCount takes the window; the order is built from the ranks and tested.

--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -54,7 +54,7 @@
 	// storeUnreachableAt is when the store last failed to answer this gateway.
 	storeUnreachableAt time.Time
 	// peaks are the highest counts of live gateways in the present and in the previous
-	// period of peakPeriod; peakStart is the start of the present one.
+	// window of PeakCount; peakStart is the start of the present one.
 	peaks     [2]int
 	peakStart time.Time
 	// known holds the other gateways by their ids.
@@ -345,19 +345,15 @@
 	return sum
 }
 
-// peakPeriod is the period of PeakCount, the longest window of a budget that gateways
-// share.
-const peakPeriod = 10 * time.Second
-
-// PeakCount returns the highest LiveCount of the last one or two peakPeriods. A budget over
-// a window is divided by it: while members are lost or miscounted, the parts of those that
-// have spent theirs are not spent again by others.
-func (m *Members) PeakCount(now time.Time) int {
+// PeakCount returns the highest LiveCount of the last one or two windows. A budget over a
+// window is divided by it: while members are lost or miscounted, the parts of those that
+// have spent theirs are not spent again by others. All calls must give the same window.
+func (m *Members) PeakCount(window time.Duration, now time.Time) int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if passed := now.Sub(m.peakStart); passed >= peakPeriod {
+	if passed := now.Sub(m.peakStart); passed >= window {
 		m.peaks[1] = m.peaks[0]
-		if passed >= 2*peakPeriod {
+		if passed >= 2*window {
 			m.peaks[1] = 0
 		}
 		m.peaks[0], m.peakStart = 0, now
--- a/internal/fleet/scale_test.go
+++ b/internal/fleet/scale_test.go
@@ -172,16 +172,17 @@
 // A quarter of the fleet is lost at once. Until it is certain that these gateways don't come
 // back within the window of a budget, the others must not spend their parts.
 func TestBudgetsAreDividedByTheLargestRecentCount(t *testing.T) {
+	const window = 10 * time.Second
 	m := newTestMembers(testMember("a", "x", 1), testMember("b", "x", 1), testMember("c", "y", 1), testMember("d", "y", 1))
-	assert.Equal(t, m.PeakCount(now), 4)
+	assert.Equal(t, m.PeakCount(window, now), 4)
 	leaving := testMember("b", "x", 1)
 	leaving.Beat, leaving.Leaving = 2, true
 	m.Merge([]*fleetwire.Member{leaving}, now)
 	assert.Equal(t, m.LiveCount(now), 3)
-	assert.Equal(t, m.PeakCount(now.Add(peakPeriod-time.Second)), 4)
-	assert.Equal(t, m.PeakCount(now.Add(peakPeriod+time.Second)), 4, "within a period of the loss")
-	later := now.Add(4 * peakPeriod)
-	assert.Equal(t, m.PeakCount(later), 1, "no beats for liveTimeout")
+	assert.Equal(t, m.PeakCount(window, now.Add(window-time.Second)), 4)
+	assert.Equal(t, m.PeakCount(window, now.Add(window+time.Second)), 4, "within a period of the loss")
+	later := now.Add(4 * window)
+	assert.Equal(t, m.PeakCount(window, later), 1, "no beats for liveTimeout")
 }
 
 // The leader of another data centre tells how many follow it, which counts for the members
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -76,7 +76,8 @@
 // each window regardless of the number of requests.
 func (d *dispatcher) retrySlack() float64 {
 	now := time.Now()
-	slack := retrySlackShare * d.options.Settings.Budgets.RetrySlack / float64(d.options.Members.PeakCount(now))
+	b := d.options.Settings.Budgets
+	slack := retrySlackShare * b.RetrySlack / float64(d.options.Members.PeakCount(b.RetryWindow.Duration, now))
 	if now.Sub(d.options.started) < fleetSizeSettleTime {
 		return min(slack, startRetrySlack)
 	}
--- a/internal/placement/estimate.go
+++ b/internal/placement/estimate.go
@@ -151,6 +151,8 @@
 	RankUnknown
 	// RankPoor: the server was recently slow, full or failing.
 	RankPoor
+
+	rankCount = iota
 )
 
 // NeedsRemote reports whether servers of other data centres should be checked, given the
@@ -166,16 +168,14 @@
 // or of unknown load, so that an entry with few calls keeps to few connections. An entry
 // that finds these servers slow or full goes on to others.
 func CheckOrder(rank Rank, idle bool) int {
-	switch {
-	case rank == RankPoor && idle:
-		return 4
-	case rank == RankPoor:
-		return 5
-	case idle:
-		return int(rank)
-	default:
-		return int(rank) + 2
+	order := int(rank)
+	if !idle {
+		order += rankCount
+	}
+	if rank == RankPoor {
+		order += 2 * rankCount
 	}
+	return order
 }
 
 // loadValidFor is how long a reported load is used to rank a server, since load shifts
--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -394,3 +394,14 @@
 	assert.Assert(t, NeedsRemote(Candidate{Running: 2, Slots: 6, Slowness: 7}, d), "all local servers are slow")
 	assert.Assert(t, NeedsRemote(Candidate{Running: 6, Waiting: 1, Slots: 6, Slowness: 1}, d))
 }
+
+// Servers of unknown load to which a connection is idle go before good ones without, and
+// poor servers come last whatever the connections.
+func TestIdleConnectionsDecideTheOrderOfChecks(t *testing.T) {
+	order := []int{
+		CheckOrder(RankGood, true), CheckOrder(RankUnknown, true), CheckOrder(RankGood, false),
+		CheckOrder(RankUnknown, false), CheckOrder(RankPoor, true), CheckOrder(RankPoor, false),
+	}
+	assert.Assert(t, slices.IsSorted(order), "%v", order)
+	assert.Equal(t, len(slices.Compact(order)), len(order))
+}
