--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -136,7 +137,8 @@
 			_ = c.raw.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
 		}
 		_, err := r.Peek(1)
-		if ne, ok := err.(net.Error); ok && ne.Timeout() {
+		var ne net.Error
+		if errors.As(err, &ne) && ne.Timeout() {
 			q := c.oldest()
 			if q == nil || time.Now().Before(q.deadline) {
 				continue
@@ -164,6 +166,7 @@
 	if err != nil {
 		return err
 	}
+	defer res.Body.Close()
 	body, err := io.ReadAll(res.Body)
 	if err != nil {
 		return err
@@ -262,7 +265,7 @@
 		if len(p.data) > 0 {
 			_, _ = to.Write(p.data)
 		}
-		if p.err == io.EOF {
+		if errors.Is(p.err, io.EOF) {
 			_ = to.(*net.TCPConn).CloseWrite()
 			return
 		}
--- a/review/standin/drain.go
+++ b/review/standin/drain.go
@@ -57,15 +57,18 @@
 	acked time.Time
 }
 
+const (
+	leaving = 2                      // servers replaced in a round
+	dark    = 2 * time.Second        // how long machines are without power
+	stays   = 700 * time.Millisecond // longer than drain
+)
+
 // drainHalfLost replaces servers while half of the machines lose power for two seconds.
 func drainHalfLost(r *run) (bool, error) {
 	const (
 		servers = 6
-		leaving = 2
 		rounds  = 14
-		gap     = 7000 * time.Millisecond
-		dark    = 2 * time.Second
-		stays   = 700 * time.Millisecond // longer than drain
+		gap     = 7 * time.Second
 	)
 	r.store.configure(16, 260, moveBooking)
 	o := serverOptions{service: "reposition", slots: 6, queue: 24, work: 210 * time.Millisecond}
@@ -73,7 +76,6 @@
 	if err != nil {
 		return false, err
 	}
-	allServers = append(allServers, live...)
 	var zones []string
 	for i := range 17 {
 		zones = append(zones, threeZones[i%len(threeZones)])
@@ -82,18 +84,7 @@
 		return false, err
 	}
 	all := &requests{}
-	stop := make(chan struct{})
-	var clients sync.WaitGroup
-	b := newBalancer(r.gateways)
-	for _, g := range r.gateways {
-		for range 4 {
-			clients.Add(1)
-			go func() {
-				defer clients.Done()
-				book(r, b, g, all, stop)
-			}()
-		}
-	}
+	stopClients := r.startBooking(all)
 	time.Sleep(2 * time.Second)
 	away := &absences{list: make(map[*gateway][]period)}
 	var left []leaver
@@ -106,49 +97,77 @@
 				return false, err
 			}
 			live = append(live, s)
-			allServers = append(allServers, s)
 		}
 		time.Sleep(60 * time.Millisecond)
-		var lost []*gateway
-		if r.trouble {
-			for _, g := range firstOfZones(r.gateways, 3) {
-				away.begin(g)
-				g.signal(syscall.SIGSTOP)
-				lost = append(lost, g)
-			}
-		}
-		var out []leaver
-		for _, s := range live[:leaving] {
-			s.drain()
-			out = append(out, leaver{s, time.Now()})
-			r.rec.line("store acknowledged that server %s is draining", s.o.id)
-		}
-		live = live[leaving:]
-		left = append(left, out...)
-		time.Sleep(dark)
-		for _, g := range lost {
-			g.signal(syscall.SIGKILL)
-			<-g.done
-			if err := g.launch(); err != nil {
-				return false, err
-			}
-			away.end(g)
-		}
-		time.Sleep(time.Until(out[0].acked.Add(drain + stays)))
-		for _, l := range out {
-			r.rec.line("server %s exits", l.s.o.id)
-			l.s.stop(true)
+		out, err := r.leaveInTheDark(live[:leaving], away)
+		if err != nil {
+			return false, err
 		}
+		live, left = live[leaving:], append(left, out...)
 		time.Sleep(time.Until(begin.Add(gap)))
 	}
-	close(stop)
-	clients.Wait()
+	stopClients()
 	late, lost := lateArrivals(r, all.list, left, away)
 	r.report(all.list)
 	r.rec.say("requests that reached a server later than drain after the acknowledgement: %d; of these not answered with its success: %d", late, lost)
 	return late > 0, nil
 }
 
+// startBooking starts four clients for each gateway, and returns a function that stops
+// them.
+func (r *run) startBooking(all *requests) func() {
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	b := newBalancer(r.gateways)
+	for _, g := range r.gateways {
+		for range 4 {
+			clients.Add(1)
+			go func() {
+				defer clients.Done()
+				book(r, b, g, all, stop)
+			}()
+		}
+	}
+	return func() {
+		close(stop)
+		clients.Wait()
+	}
+}
+
+// leaveInTheDark makes gateways lose power, makes servers leave, starts the gateways again
+// and ends the servers.
+func (r *run) leaveInTheDark(servers []*server, away *absences) ([]leaver, error) {
+	var lost []*gateway
+	if r.trouble {
+		lost = firstOfZones(r.gateways, 3)
+	}
+	for _, g := range lost {
+		away.begin(g)
+		g.signal(syscall.SIGSTOP)
+	}
+	var out []leaver
+	for _, s := range servers {
+		s.drain()
+		out = append(out, leaver{s, time.Now()})
+		r.rec.line("store acknowledged that server %s is draining", s.o.id)
+	}
+	time.Sleep(dark)
+	for _, g := range lost {
+		g.signal(syscall.SIGKILL)
+		<-g.done
+		if err := g.launch(); err != nil {
+			return nil, err
+		}
+		away.end(g)
+	}
+	time.Sleep(time.Until(out[0].acked.Add(drain + stays)))
+	for _, l := range out {
+		r.rec.line("server %s exits", l.s.o.id)
+		l.s.exit()
+	}
+	return out, nil
+}
+
 // book sends bookings to one gateway, one at a time, on a connection that it keeps.
 func book(r *run, b *balancer, g *gateway, all *requests, stop <-chan struct{}) {
 	var c *clientConn
--- a/review/standin/gateway.go
+++ b/review/standin/gateway.go
@@ -32,16 +32,16 @@
 	gateways []*gateway
 }
 
-// host returns a loopback address for the gateway with an index. The process id keeps
+// hostOf returns a loopback address for the gateway with an index. The process id keeps
 // cases that run side by side apart.
 func hostOf(i int) string {
 	pid := os.Getpid()
 	return fmt.Sprintf("127.%d.%d.%d", 20+pid>>8&0x3f, pid&0xff, 10+i)
 }
 
-// start starts gateways, one in each of the zones, with the settings that the platform
+// prepare sets up a gateway for each of the zones, with the settings that the platform
 // renders from the project's template.
-func (f *fleet) start(zones ...string) error {
+func (f *fleet) prepare(zones ...string) error {
 	var ports map[string]int
 	for i, zone := range zones {
 		host := hostOf(i)
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -106,15 +106,13 @@
 	s.beat()
 }
 
-// stop ends the server at once. Its entry stays, as after a crash, unless remove is set.
-func (s *server) stop(remove bool) {
+// exit ends the server, which takes its entry out of the store.
+func (s *server) exit() {
 	s.mu.Lock()
 	close(s.stopped)
 	s.mu.Unlock()
 	_ = s.http.Close()
-	if remove {
-		s.store.remove("servers/" + s.o.id)
-	}
+	s.store.remove("servers/" + s.o.id)
 }
 
 // arrived returns when a request reached the server.
--- a/review/standin/stop.go
+++ b/review/standin/stop.go
@@ -32,7 +32,7 @@
 }
 
 func (r *run) startFleet(zones ...string) error {
-	if err := r.fleet.start(zones...); err != nil {
+	if err := r.prepare(zones...); err != nil {
 		return err
 	}
 	if err := r.launch(); err != nil {
@@ -55,7 +55,7 @@
 	return nil, time.Time{}, false
 }
 
-// log of all requests of a case.
+// requests holds all requests of a case.
 type requests struct {
 	mu   sync.Mutex
 	list []*request
