httpserver: End a pipelined connection while the server drains

Cause: an answer became the last of its connection only if no other request waited there. A client that pipelines always has one waiting, so its connection was never ended by an answer and never idle.

Change: the first request read on a connection while the server drains is its last. What follows it isn't read; clients send that again.

--- a/internal/httpserver/guard.go
+++ b/internal/httpserver/guard.go
@@ -148,13 +148,16 @@
 	return nil
 }
 
-// complete notes that the request ends with the bytes to be passed next.
+// complete notes that the request ends with the bytes to be passed next. A request that
+// is read while the server drains is the last of its connection: its answer says so, and
+// clients send again what they sent behind it.
 func (c *conn) complete() *refusal {
 	if len(c.pending) >= maxPipelined {
 		return refusePipeline
 	}
 	g := &c.guard
 	c.stopTimer()
+	g.close = g.close || c.server.draining.Load()
 	c.push(request{body: g.body, close: g.close})
 	g.part, g.body, g.ticket, g.done = inHead, 0, false, g.close
 	return nil
