httpserver: Read no request behind a closing answer

Callers saw: a request that crossed an answer with Connection: close was passed on to a server and never answered. Clients send it again, as it counts as not read, so that an order could run twice under two attempts.

Cause: the choice of the last answer and the end of reading were two steps, and a lingering connection still parsed requests.

Change: conn.endsWith takes both steps under the connection's lock.

Evidence: TestRequestBehindAClosingAnswerDoesNotRun failed before ('/2' had run) and passes, with the other tests of the package.

--- a/internal/httpserver/answer.go
+++ b/internal/httpserver/answer.go
@@ -83,7 +83,7 @@
 		return
 	}
 	defer c.answered()
-	last := req.close || (c.server.draining.Load() && c.only())
+	last := c.endsWith(req)
 	c.send(a.bytes(r.Method, last), last)
 }
 
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -118,11 +118,19 @@
 	_ = c.nbc.Close()
 }
 
-// only reports whether no other request waits on the connection.
-func (c *conn) only() bool {
+// endsWith reports whether the connection ends with the answer to its oldest request. If
+// so, no further request is read: one that was passed on would run without an answer.
+func (c *conn) endsWith(r request) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.pending) <= 1 && !c.guard.started()
+	if r.close {
+		return true
+	}
+	if !c.server.draining.Load() || len(c.pending) > 1 || c.guard.started() {
+		return false
+	}
+	c.guard.done = true
+	return true
 }
 
 // send writes a whole answer and waits until the caller has taken it, so that a
--- a/internal/httpserver/drain_test.go
+++ b/internal/httpserver/drain_test.go
@@ -67,3 +67,22 @@
 	time.Sleep(50 * time.Millisecond)
 	assert.Equal(t, len(handler.list()), answered, "requests behind the closing answer must not run")
 }
+
+// Guards against a request that runs and gets no answer: it crossed the answer that ended
+// its connection, so that its client sends it again.
+func TestRequestBehindAClosingAnswerDoesNotRun(t *testing.T) {
+	handler := &calledPaths{delay: 100 * time.Millisecond}
+	s := startTest(t, Options{Handler: handler})
+	c := dialTest(t, s)
+	_, err := io.WriteString(c, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+	assert.NilError(t, err)
+	waitFor(t, func() bool { return s.Busy() == 1 })
+	s.Drain()
+	res, _ := readAnswer(t, bufio.NewReader(c), http.MethodGet)
+	assert.Assert(t, res.Close)
+	_, err = io.WriteString(c, "POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx")
+	assert.NilError(t, err)
+	time.Sleep(100 * time.Millisecond)
+	assert.DeepEqual(t, handler.list(), []string{"/1"})
+	assert.Equal(t, s.Busy(), 0)
+}
