httpserver, gateway: Leave callers time to read their last answers at a stop

Callers saw: around a stop, a client that pipelines lost the answer of a request that a server had run, as the connection was reset.

Cause: CloseIdle closed connections whose last answer was sent and whose callers had not read it yet, because no request waits on them; and the stop ended as soon as the kernel had taken the last answer. A request that crosses the answer then makes the kernel reset the connection.

--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -34,7 +34,9 @@
 }
 
 // run fails readiness, serves requests for the lame-duck period, closes idle connections
-// and returns when no request is in flight, or exitMargin before the grace period ends.
+// and returns when callers have closed the others, or exitMargin before the grace period
+// ends. If the process exited with an answer still in a socket's buffer, a request sent
+// behind it would make the kernel reset the connection and discard the answer.
 func (s *stopper) run() {
 	begin := time.Now()
 	grace := s.settings.Grace.Duration
@@ -51,10 +53,10 @@
 	for time.Since(begin) < grace-exitMargin {
 		// A connection may have become idle since the last iteration.
 		server.CloseIdle()
-		if server.Busy() == 0 {
+		if server.Busy() == 0 && server.Lingering() == 0 {
 			break
 		}
 		time.Sleep(drainPollInterval)
 	}
-	s.log.With("busy", server.Busy()).With("after", time.Since(begin).Round(time.Millisecond)).Infof("stop: drained")
+	s.log.With("busy", server.Busy()).With("lingering", server.Lingering()).With("after", time.Since(begin).Round(time.Millisecond)).Infof("stop: drained")
 }
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -107,11 +107,19 @@
 	}
 }
 
-// closeIdle closes the connection unless a request has begun on it.
+// lingers reports whether the connection takes no more requests and is still open.
+func (c *conn) lingers() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.guard.done
+}
+
+// closeIdle closes the connection unless a request has begun on it or its last answer is
+// sent: the caller closes it then, or lingerTimeout does.
 func (c *conn) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.pending) > 0 || c.guard.started() || c.wire.unsent() > 0 {
+	if len(c.pending) > 0 || c.guard.started() || c.guard.done || c.wire.unsent() > 0 {
 		return
 	}
 	c.guard.done = true
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -143,6 +143,20 @@
 // Busy returns the number of requests that are not answered in full.
 func (s *Server) Busy() int { return int(s.busy.Load()) }
 
+// Lingering returns the number of connections that take no more requests and that their
+// callers have not closed yet. Each is closed lingerTimeout after its last answer at the
+// latest.
+func (s *Server) Lingering() int {
+	n := 0
+	s.conns.Range(func(key, _ any) bool {
+		if key.(*conn).lingers() {
+			n++
+		}
+		return true
+	})
+	return n
+}
+
 // Stop closes the listener and all connections. The library's poller sometimes
 // misses its wake-up and keeps its stop waiting, so that wait is bounded.
 func (s *Server) Stop() {
--- a/internal/supervisor/callers/service.go
+++ b/internal/supervisor/callers/service.go
@@ -64,10 +64,11 @@
 // Listening reports whether connections are accepted.
 func (s *Service) Listening() bool { return s.server.Load() != nil }
 
-// Busy returns the number of requests that are not answered in full.
+// Busy returns the number of requests that are not answered in full, and of connections
+// whose callers may still be reading their last answers.
 func (s *Service) Busy() int {
 	if server := s.server.Load(); server != nil {
-		return server.Busy()
+		return server.Busy() + server.Lingering()
 	}
 	return 0
 }
