discovery, fleet: Derive all timeouts on the way from the store from one bound

Cause: a gateway noticed the silence of its source after 1 s, with data of up to 1.8 s; it then tried other gateways, lost as well, in turn, or stayed with one whose data were as old, and asked the store when its data were 2.2 to 2.8 s old or more. All of these were constants. A healthy session with the store barred the next one for 2 s, or for minutes in a large fleet.

A gateway that lost its source, or follows another than its leader, asks the store when its data are 65% to 75% of the bound old; confirmations are passed on at once; a resumed session asks at once whether anything has changed.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -1,13 +1,16 @@
 package cli
 
 import (
+	"cmp"
 	"context"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/baobabstack/baobabstack/internal/discovery"
 	"github.com/baobabstack/baobabstack/internal/gateway"
 	"github.com/baobabstack/baobabstack/internal/logs"
 	"github.com/baobabstack/baobabstack/internal/settings"
@@ -16,7 +19,36 @@
 
 type gatewayCommand struct {
 	streams
-	Settings string `long:"settings" value-name:"FILE" description:"Settings file (TOML). Default: where the platform puts it"`
+	Settings           string      `long:"settings" value-name:"FILE" description:"Settings file (TOML). Default: where the platform puts it"`
+	ConfigurationBound changeBound `long:"configuration-bound" value-name:"DURATION" description:"Time within which each gateway applies a configuration that the store has accepted. Default: 2s"`
+	LeavingBound       changeBound `long:"leaving-bound" value-name:"DURATION" description:"Time within which no gateway sends work to a server that the store lists as leaving. Default: 2s"`
+}
+
+// changeBound is the time within which a gateway must know a change of the store. An empty
+// text stands for the default, because the platform may have no such bound.
+type changeBound time.Duration
+
+// UnmarshalFlag implements flags.Unmarshaler.
+func (b *changeBound) UnmarshalFlag(text string) error {
+	if text == "" {
+		return nil
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		return errors.Wrap(err, "give a duration, like 2s")
+	}
+	if d < minChangeBound {
+		return errors.Errorf("%s is too short; give at least %s", d, minChangeBound)
+	}
+	*b = changeBound(d)
+	return nil
+}
+
+// minChangeBound is the shortest bound that network delays and pauses of small VMs allow.
+const minChangeBound = 100 * time.Millisecond
+
+func (b changeBound) duration() time.Duration {
+	return cmp.Or(time.Duration(b), discovery.DefaultChangeBound)
 }
 
 var errNoSettings = errors.New("no settings file is named; give --settings FILE")
@@ -42,11 +74,13 @@
 	signal.Ignore(syscall.SIGPIPE) // a reader of the log that left must not end the process
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	timing := discovery.NewTiming(min(c.ConfigurationBound.duration(), c.LeavingBound.duration()))
 	return gateway.Run(ctx, &gateway.Options{
 		Settings: s,
+		Timing:   timing,
 		Reload:   func() (*settings.Gateway, []error) { return settings.LoadGateway(file) },
 		Dialect:  platform.Dialect(),
-		Store:    platform.NewStore(s.Store.Address, s.VM.LinkMbps),
+		Store:    platform.NewStore(s.Store.Address, s.VM.LinkMbps, timing),
 		Decoder:  platform.Decoder{},
 	}, reloadRequests(ctx))
 }
--- a/internal/discovery/choose.go
+++ b/internal/discovery/choose.go
@@ -23,7 +23,7 @@
 
 // nextSource returns the source to follow now, or nil if none may be tried yet.
 func (f *Follower) nextSource(now time.Time, roles Roles) Source {
-	storeReady := now.Sub(f.storeEndedAt) >= f.storeRetryDelay(roles)
+	storeReady := now.Sub(f.storeFailedAt) >= f.storeRetryDelay(roles)
 	switch {
 	case storeReady && (roles.ReadsStore || f.stale(roles)):
 		return f.options.Store
@@ -34,24 +34,32 @@
 	}
 }
 
-// storeRetryDelay returns the least time between the end of a session with the store
-// and the start of the next.
+// storeRetryDelay returns the least time between a failure of the store and the start of
+// the next session with it.
 func (f *Follower) storeRetryDelay(roles Roles) time.Duration {
+	t := f.options.Timing
 	switch {
 	case roles.ReadsStore:
 		return f.storeBackoff
 	case roles.Leader:
-		return leaderBackoff
-	case f.hasPeers(roles):
-		return max(nonLeaderBackoff, time.Duration(roles.Members)*storeRetryInterval)
+		return t.LeaderRetry
+	case f.leaderAnswers(roles):
+		return max(t.FollowerRetry, time.Duration(roles.Members)*storeRetryInterval)
 	default:
-		return nonLeaderBackoff
+		return t.FollowerRetry
 	}
 }
 
-// hasPeers reports whether other gateways are known of which not all have failed since
-// one answered.
-func (f *Follower) hasPeers(roles Roles) bool { return f.peerFailures < len(roles.Sources) }
+// leaderAnswers reports whether the gateway can count on its first source: no gateway has
+// failed as a source since one answered, and none but the first is followed. Otherwise the
+// gateway may follow one that has lost its source too.
+func (f *Follower) leaderAnswers(roles Roles) bool {
+	if len(roles.Sources) == 0 || f.peerFailures > 0 {
+		return false
+	}
+	s := f.session
+	return s == nil || s.source.Direct() || s.source.Name() == roles.Sources[0].Name()
+}
 
 // peerRetryDelay returns the pause after the latest failure of another gateway.
 func (f *Follower) peerRetryDelay(sources int) time.Duration {
@@ -59,16 +67,18 @@
 	return min(peerBackoff<<rounds, peerBackoffMax)
 }
 
-// stale reports whether the store's last confirmation of the state is too old. The
-// limit is shorter for a leader, because other gateways follow it.
+// stale reports whether the store's last confirmation of the state is too old. The limit
+// is the shortest for a leader, because other gateways follow it, and the longest while the
+// leader answers: it asks the store first and passes on what it gets.
 func (f *Follower) stale(roles Roles) bool {
-	limit := staleAge
+	t := f.options.Timing
+	limit := t.LeaderStaleAge
 	if !roles.Leader {
-		spread := maxStaleJitter
-		if f.hasPeers(roles) {
+		spread := t.StaleSpread
+		if f.leaderAnswers(roles) {
 			spread = max(spread, time.Duration(roles.Members)*storeTryInterval)
 		}
-		limit += nonLeaderDelay + time.Duration(f.staleJitter*float64(spread))
+		limit = t.FollowerStaleAge + time.Duration(f.staleJitter*float64(spread))
 	}
 	return f.state.Known() && f.clock.Now()-time.Duration(f.confirmedAt.Load()) > limit
 }
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -50,13 +50,9 @@
 	// minStoreTimePeersDown.
 	minStoreTime          = time.Second
 	minStoreTimePeersDown = 5 * time.Second
-	// nonLeaderDelay is how much longer than the leader of a data centre its other
-	// gateways wait before they turn to the store.
-	nonLeaderDelay = 500 * time.Millisecond
-	// maxStaleJitter bounds the random delay that spreads the calls to the store by
-	// gateways that lost the same source. If another gateway still answers as a source,
-	// the bound is storeTryInterval for each member of the fleet, if that is more.
-	maxStaleJitter   = 600 * time.Millisecond
+	// storeTryInterval is the mean time between two calls to the store by gateways whose
+	// leader still answers, with data that grow old. Only the leaders of a store that is
+	// silent towards all ask it sooner.
 	storeTryInterval = 33 * time.Millisecond
 	// minPeerTime is how long another gateway is followed before a better one replaces
 	// it, so that membership can settle.
@@ -70,32 +66,18 @@
 	// starts at once, retries must not slow down the gateways that they wait for.
 	peerBackoff    = 40 * time.Millisecond
 	peerBackoffMax = 640 * time.Millisecond
-	// staleAge is the time without a confirmation by the store after which the store
-	// is asked directly. The store answers a reader at least every watchWait of package
-	// platform.
-	staleAge = 1700 * time.Millisecond
 	// storeBackoffMin and storeBackoffMax bound the pause after which the reader
 	// retries a failing store. The pause is short because the other gateways depend on
 	// the reader.
 	storeBackoffMin = 100 * time.Millisecond
 	storeBackoffMax = 500 * time.Millisecond
-	// leaderBackoff is the pause after which a leader that is not the reader retries a
-	// failing store; nonLeaderBackoff is the pause of gateways that are neither. Every
-	// gateway retries, because gateways disagree on who is the reader while the store
-	// answers none of them, and a configuration must be in force 2 s after the store
-	// recovers.
-	nonLeaderBackoff = 2 * time.Second
-	leaderBackoff    = time.Second
-	// storeRetryInterval is nonLeaderBackoff for each member of the fleet, if that is more,
-	// while another gateway answers as a source: the leaders retry and pass on what they
-	// get, so the calls of the others must not grow with the fleet.
+	// storeRetryInterval is the pause before a retry for each member of the fleet, if that is
+	// more than Timing.FollowerRetry, while the leader answers: it retries and passes on what
+	// it gets, so the calls of the others must not grow with the fleet.
 	storeRetryInterval = 110 * time.Millisecond
 	// minOutage is the time between the first and the last failure of the store from
 	// which its recovery counts as the end of an outage.
 	minOutage = 800 * time.Millisecond
-	// maxFailureGap is the longest time between two failures of the same outage: it
-	// allows for the pause before a retry plus the timeout of a call.
-	maxFailureGap = 2500 * time.Millisecond
 	// checkIntervalUnanswered is the pause between two choices of a source until the
 	// present source has answered, checkIntervalAnswered the pause from then on.
 	checkIntervalUnanswered = 25 * time.Millisecond
@@ -127,6 +109,8 @@
 type Options struct {
 	Decoder Decoder
 	Store   Store
+	// Timing holds the timeouts. The default is that of DefaultChangeBound.
+	Timing Timing
 	// Roles returns this gateway's present roles.
 	Roles func(now time.Time) Roles
 	// SetStoreReachable is called with false after each failure of the store, and with
@@ -147,7 +131,7 @@
 
 	session       *session
 	lastSessionID int
-	storeEndedAt  time.Time // the end of the last session with the store
+	storeFailedAt time.Time // the store's last failure, or zero since it answered
 	peerFailedAt  time.Time // the last failure of another gateway
 	peerLostAt    time.Time // the last failure of another gateway that had answered
 	// peerFailures counts the failures of other gateways since one answered.
@@ -187,6 +171,9 @@
 
 // NewFollower returns a follower with an empty state.
 func NewFollower(o Options) *Follower {
+	if o.Timing == (Timing{}) {
+		o.Timing = NewTiming(DefaultChangeBound)
+	}
 	return &Follower{
 		options: o, log: logs.For("discovery"), state: NewState(o.Decoder), events: make(chan event, subscriberBuffer),
 		subscribers: make(map[chan Batch]struct{}), storeBackoff: storeBackoffMin,
@@ -257,9 +244,6 @@
 	var resume uint64
 	if s := f.session; s != nil {
 		s.cancel()
-		if s.source.Direct() && !f.leader { // a leader returns at once if it finds only stale sources
-			f.storeEndedAt = now
-		}
 	}
 	if source.Direct() && f.resumable && !f.state.RetainsUnlisted(now) {
 		resume = f.state.Revision()
@@ -312,8 +296,9 @@
 		f.storeUnreachable.Store(false) // only a gateway that reads the store reports it unreachable
 	}
 	f.resumable = true
-	if !f.apply(e.batch, now) && s.source.Direct() {
-		f.broadcast(Batch{}) // confirms to subscribers that nothing is newer
+	confirmed := f.confirmedAt.Load()
+	if !f.apply(e.batch, now) && (s.source.Direct() || f.confirmedAt.Load()-confirmed > int64(f.options.Timing.Heartbeat/2)) {
+		f.broadcast(Batch{}) // tells subscribers at once that the store has confirmed the state
 	}
 	f.checkSourceAge(ctx, s, e.batch.Age, now)
 }
@@ -323,7 +308,7 @@
 func (f *Follower) checkSourceAge(ctx context.Context, s *session, age time.Duration, now time.Time) {
 	switch {
 	case s.source.Direct():
-	case f.leader && age > staleAge:
+	case f.leader && age > f.options.Timing.LeaderStaleAge:
 		f.sessionFailed(s, errStaleSource, now)
 		f.chooseSource(ctx, now)
 	default:
@@ -355,10 +340,10 @@
 	case errors.Is(err, ErrHistoryLost):
 		f.resumable = false
 		return
-	case f.failingSince.IsZero() || now.Sub(f.storeEndedAt) > maxFailureGap:
+	case f.failingSince.IsZero() || now.Sub(f.storeFailedAt) > f.options.Timing.MaxFailureGap:
 		f.failingSince = now
 	}
-	f.storeEndedAt = now
+	f.storeFailedAt = now
 	f.storeBackoff = min(f.storeBackoff*2, storeBackoffMax)
 	f.setStoreReachable(false, now)
 	f.broadcast(Batch{}) // makes followers see StoreUnreachable and turn to another source at once
@@ -388,7 +373,7 @@
 
 func (f *Follower) storeAnswered(now time.Time) {
 	if !f.failingSince.IsZero() {
-		if f.storeEndedAt.Sub(f.failingSince) > minOutage && now.Sub(f.storeEndedAt) < maxFailureGap {
+		if f.storeFailedAt.Sub(f.failingSince) > minOutage && now.Sub(f.storeFailedAt) < f.options.Timing.MaxFailureGap {
 			f.state.StoreRecovered(now)
 		}
 		f.log.With("failed_for", now.Sub(f.failingSince).Round(time.Millisecond)).Infof("store answers again")
@@ -397,7 +382,7 @@
 		f.setStoreReachable(true, now)
 	}
 	f.failingSince = time.Time{}
-	f.storeEndedAt = time.Time{}
+	f.storeFailedAt = time.Time{}
 	f.storeBackoff = storeBackoffMin
 }
 
--- a/internal/discovery/follower_test.go
+++ b/internal/discovery/follower_test.go
@@ -234,12 +234,13 @@
 // has to retry the store itself, or a change is known too late after its recovery.
 func TestEveryEntryTriesAStoreThatIsAway(t *testing.T) {
 	const recoveryBound = 2 * time.Second // a configuration must be in force by then
+	timing := NewTiming(recoveryBound)
 	for _, test := range []struct {
 		roles Roles
 		pause time.Duration
 	}{
-		{Roles{}, nonLeaderBackoff},
-		{Roles{Leader: true}, leaderBackoff},
+		{Roles{}, timing.FollowerRetry},
+		{Roles{Leader: true}, timing.LeaderRetry},
 		{Roles{ReadsStore: true}, storeBackoffMax},
 	} {
 		store, peer := newFakeSource("store", true), newFakeSource("peer", false)
@@ -367,7 +368,7 @@
 func TestLeaderLeavesASourceWithStaleData(t *testing.T) {
 	store, stale, fresh := newFakeSource("store", true), newFakeSource("stale", false), newFakeSource("fresh", false)
 	store.failure = errDown
-	stale.age = staleAge + time.Second
+	stale.age = NewTiming(DefaultChangeBound).LeaderStaleAge + time.Second
 	fresh.full.Items = append(fresh.full.Items, put("s/b", "up", 5))
 	h := startFollower(t, store, Roles{Leader: true, Sources: []Source{stale, fresh}})
 	waitFor(t, "the fresh source is followed", func() bool { return h.servers() == 2 })
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -15,26 +15,9 @@
 	"github.com/baobabstack/baobabstack/internal/logs"
 )
 
-const (
-	// heartbeatInterval is the pause between updates to a follower while nothing
-	// changes.
-	heartbeatInterval = 400 * time.Millisecond
-	// updateTimeout is how long a follower waits for an update: two heartbeats and
-	// a scheduling delay at the sender. Together with the time to switch to another
-	// source it stays well below the two seconds within which every gateway must
-	// know that a server is leaving.
-	updateTimeout = time.Second
-	// firstUpdateTimeout is how long a follower waits for the first update, connecting
-	// included. VMs that start together can't reach each other for a moment.
-	firstUpdateTimeout = 300 * time.Millisecond
-	// noDataTimeout is how long a follower waits for a gateway that answers but has no
-	// store data yet, before it tries another gateway. That is long enough for a few
-	// calls to the store.
-	noDataTimeout = 300 * time.Millisecond
-	// bufferBytes is the size of a connection's read and write buffers. It is small
-	// because a connection carries only a few small messages a second.
-	bufferBytes = 4 << 10
-)
+// bufferBytes is the size of a connection's read and write buffers. It is small
+// because a connection carries only a few small messages a second.
+const bufferBytes = 4 << 10
 
 // Feed provides the store data that a Service sends to followers. Its methods are
 // safe for concurrent use.
@@ -59,12 +42,13 @@
 	address string
 	members *Members
 	feed    Feed
+	timing  discovery.Timing
 	packer  packer
 }
 
 // NewService returns a service that listens on a TCP address.
-func NewService(address string, members *Members, feed Feed) *Service {
-	return &Service{address: address, members: members, feed: feed, packer: packer{log: logs.For("fleet")}}
+func NewService(address string, members *Members, feed Feed, timing discovery.Timing) *Service {
+	return &Service{address: address, members: members, feed: feed, timing: timing, packer: packer{log: logs.For("fleet")}}
 }
 
 // Serve serves followers until the context ends and returns the context's error. It
@@ -74,7 +58,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen for followers on %s", s.address)
 	}
-	server := grpc.NewServer(grpc.ReadBufferSize(bufferBytes), grpc.WriteBufferSize(bufferBytes), grpc.ConnectionTimeout(updateTimeout))
+	server := grpc.NewServer(grpc.ReadBufferSize(bufferBytes), grpc.WriteBufferSize(bufferBytes), grpc.ConnectionTimeout(s.timing.UpdateTimeout))
 	fleetwire.RegisterFleetServer(server, s)
 	stop := context.AfterFunc(ctx, server.Stop)
 	defer stop()
@@ -91,7 +75,7 @@
 		s.members.AddFollowers(1)
 		defer s.members.AddFollowers(-1)
 	}
-	heartbeat := time.NewTimer(heartbeatInterval)
+	heartbeat := time.NewTimer(s.timing.Heartbeat)
 	defer heartbeat.Stop()
 	full, changes, cancel, err := s.subscribeWhenKnown(stream, heartbeat)
 	defer cancel()
@@ -113,7 +97,7 @@
 		case <-stream.Context().Done():
 			return stream.Context().Err()
 		}
-		heartbeat.Reset(heartbeatInterval)
+		heartbeat.Reset(s.timing.Heartbeat)
 		if err := stream.Send(s.update(b)); err != nil {
 			return err
 		}
@@ -132,7 +116,7 @@
 		if err := stream.Send(s.update(full)); err != nil {
 			return full, changes, cancel, err
 		}
-		heartbeat.Reset(heartbeatInterval)
+		heartbeat.Reset(s.timing.Heartbeat)
 		select {
 		case <-changes:
 		case <-heartbeat.C:
@@ -157,6 +141,7 @@
 type Peer struct {
 	members *Members
 	target  *fleetwire.Member
+	timing  discovery.Timing
 }
 
 // Name returns the followed gateway's id.
@@ -180,7 +165,7 @@
 	defer func() { _ = conn.Close() }()
 	limited, cancel := context.WithCancel(ctx)
 	defer cancel()
-	silent := time.AfterFunc(firstUpdateTimeout, cancel)
+	silent := time.AfterFunc(p.timing.FirstUpdateTimeout, cancel)
 	defer silent.Stop()
 	err = p.receive(limited, conn, silent, deliver)
 	if ctx.Err() != nil {
@@ -204,7 +189,7 @@
 		return err
 	}
 	for {
-		silent.Reset(updateTimeout)
+		silent.Reset(p.timing.UpdateTimeout)
 		if u.GetLost() {
 			p.members.MarkStoreUnreachable(p.target.Id, time.Now())
 		}
@@ -223,7 +208,7 @@
 }
 
 // receiveFirst waits for the full update. It fails with errNoStoreData if the gateway
-// answers but sends no full update within noDataTimeout of its first answer.
+// answers but sends no full update within Timing.NoDataTimeout of its first answer.
 func (p Peer) receiveFirst(stream fleetwire.Fleet_FollowClient, silent *time.Timer) (*fleetwire.Update, error) {
 	for answered := false; ; answered = true {
 		u, err := stream.Recv()
@@ -238,7 +223,7 @@
 			p.members.MarkStoreUnreachable(p.target.Id, time.Now())
 		}
 		if !answered {
-			silent.Reset(noDataTimeout)
+			silent.Reset(p.timing.NoDataTimeout)
 		}
 	}
 }
@@ -255,25 +240,25 @@
 // Sources returns this gateway's roles with the gateways to follow. While no other
 // gateway is known, a gateway that is a seed reads the store, and any other follows the
 // seeds in random order.
-func Sources(m *Members, seeds []string, now time.Time) discovery.Roles {
+func Sources(m *Members, seeds []string, timing discovery.Timing, now time.Time) discovery.Roles {
 	roles := m.Roles(now)
 	if len(roles.Sources) == 0 {
-		return seedSources(m, seeds)
+		return seedSources(m, seeds, timing)
 	}
 	p := discovery.Roles{ReadsStore: roles.ReadsStore, Leader: roles.Leader, Members: m.LiveCount(now)}
 	for _, target := range roles.Sources {
-		p.Sources = append(p.Sources, Peer{members: m, target: target})
+		p.Sources = append(p.Sources, Peer{members: m, target: target, timing: timing})
 	}
 	return p
 }
 
-func seedSources(m *Members, seeds []string) discovery.Roles {
+func seedSources(m *Members, seeds []string, timing discovery.Timing) discovery.Roles {
 	var p discovery.Roles
 	for _, address := range seeds {
 		if address == m.self.Address {
 			return discovery.Roles{ReadsStore: true, Leader: true}
 		}
-		p.Sources = append(p.Sources, Peer{members: m, target: &fleetwire.Member{Id: "seed " + address, Address: address}})
+		p.Sources = append(p.Sources, Peer{members: m, timing: timing, target: &fleetwire.Member{Id: "seed " + address, Address: address}})
 	}
 	rand.Shuffle(len(p.Sources), func(i, j int) { p.Sources[i], p.Sources[j] = p.Sources[j], p.Sources[i] })
 	return p
--- a/internal/fleet/members_test.go
+++ b/internal/fleet/members_test.go
@@ -17,7 +17,10 @@
 	"github.com/baobabstack/baobabstack/internal/standin"
 )
 
-var now = time.Unix(1000, 0)
+var (
+	now        = time.Unix(1000, 0)
+	testTiming = discovery.NewTiming(discovery.DefaultChangeBound)
+)
 
 func testMember(id, zone string, capacity uint32) *fleetwire.Member {
 	return &fleetwire.Member{Id: id, Address: id + ":1", GossipAddress: id + ":2", Zone: zone, Incarnation: 1, Beat: 1, Capacity: capacity}
@@ -178,7 +181,7 @@
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	service := NewService(address, NewMembers(testMember("a", "x", 1)), f)
+	service := NewService(address, NewMembers(testMember("a", "x", 1)), f, testTiming)
 	go func() { _ = service.Serve(ctx) }()
 
 	got := make(chan discovery.Batch, 16)
@@ -187,7 +190,7 @@
 	target.Address = address
 	go func() {
 		for ctx.Err() == nil {
-			_ = Peer{members: follower, target: target}.Run(ctx, 0, func(b discovery.Batch) { got <- b })
+			_ = Peer{members: follower, target: target, timing: testTiming}.Run(ctx, 0, func(b discovery.Batch) { got <- b })
 		}
 	}()
 	b := <-got
@@ -210,7 +213,7 @@
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go func() { _ = NewService(address, NewMembers(testMember("a", "x", 1)), f).Serve(ctx) }()
+	go func() { _ = NewService(address, NewMembers(testMember("a", "x", 1)), f, testTiming).Serve(ctx) }()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		conn, err := net.Dial("tcp", address)
 		if err != nil {
@@ -224,9 +227,9 @@
 	target.Address = address
 	got, ended := make(chan discovery.Batch, 1), make(chan error, 1)
 	go func() {
-		ended <- Peer{members: NewMembers(testMember("b", "x", 1)), target: target}.Run(ctx, 0, func(b discovery.Batch) { got <- b })
+		ended <- Peer{members: NewMembers(testMember("b", "x", 1)), target: target, timing: testTiming}.Run(ctx, 0, func(b discovery.Batch) { got <- b })
 	}()
-	time.Sleep(noDataTimeout / 10)
+	time.Sleep(testTiming.NoDataTimeout / 10)
 	f.mu.Lock()
 	f.full = discovery.Batch{Full: true, Revision: 7, Items: []discovery.Item{{Key: "k", Revision: 7}}}
 	f.mu.Unlock()
@@ -246,12 +249,12 @@
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go func() { _ = NewService(address, NewMembers(testMember("a", "x", 1)), f).Serve(ctx) }()
+	go func() { _ = NewService(address, NewMembers(testMember("a", "x", 1)), f, testTiming).Serve(ctx) }()
 	target := testMember("a", "x", 1)
 	target.Address = address
 	members := NewMembers(testMember("b", "x", 1))
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		err := Peer{members: members, target: target}.Run(ctx, 0, func(discovery.Batch) {})
+		err := Peer{members: members, target: target, timing: testTiming}.Run(ctx, 0, func(discovery.Batch) {})
 		if !errors.Is(err, errNoStoreData) {
 			return poll.Continue("%v", err)
 		}
@@ -259,7 +262,7 @@
 	}, poll.WithDelay(time.Millisecond))
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	assert.Assert(t, f.subscriptions <= 2, "%d subscriptions in %s", f.subscriptions, noDataTimeout)
+	assert.Assert(t, f.subscriptions <= 2, "%d subscriptions in %s", f.subscriptions, testTiming.NoDataTimeout)
 }
 
 func TestGossipFindsTheOthersFromOneSeed(t *testing.T) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -32,6 +32,9 @@
 	Reload func() (*settings.Gateway, []error)
 	// Dialect holds the names of the headers that servers read and write.
 	Dialect *upstream.Dialect
+	// Timing holds the timeouts between the store and this gateway. The default is that of
+	// discovery.DefaultChangeBound.
+	Timing discovery.Timing
 	// Store reads the platform's store.
 	Store discovery.Store
 	// Decoder decodes the items of the store.
@@ -72,6 +75,9 @@
 	if o.MaxBodyBytes == 0 {
 		o.MaxBodyBytes = defaultMaxBodyBytes
 	}
+	if o.Timing == (discovery.Timing{}) {
+		o.Timing = discovery.NewTiming(discovery.DefaultChangeBound)
+	}
 	s := o.Settings
 	o.seeds.Store(&s.Fleet.Seeds)
 	o.Members = fleet.NewMembers(&fleetwire.Member{
@@ -82,8 +88,10 @@
 	h := newHandler(o, newCounters())
 	reg := newRegistry(o)
 	follower := discovery.NewFollower(discovery.Options{
-		Decoder: o.Decoder, Store: o.Store,
-		Roles:             func(now time.Time) discovery.Roles { return fleet.Sources(o.Members, *o.seeds.Load(), now) },
+		Decoder: o.Decoder, Store: o.Store, Timing: o.Timing,
+		Roles: func(now time.Time) discovery.Roles {
+			return fleet.Sources(o.Members, *o.seeds.Load(), o.Timing, now)
+		},
 		SetStoreReachable: o.setStoreReachable,
 		Publish: func(v discovery.View) {
 			if h.current.set(reg.build(v, time.Now())) {
@@ -100,7 +108,7 @@
 	root := tree.New("gateway", log)
 	for _, child := range []suture.Service{
 		follower, callers,
-		fleet.NewService(s.Listen.Fleet, o.Members, follower),
+		fleet.NewService(s.Listen.Fleet, o.Members, follower, o.Timing),
 		fleet.NewGossip(o.Members, s.Listen.Gossip, o.gossipSeeds),
 		auxListener{name: "ready", address: s.Listen.Ready, path: s.Listen.ReadyPath, handle: stop.ready},
 		auxListener{name: "metrics", address: s.Listen.Metrics, path: s.Listen.MetricsPath, handle: writeMetrics},
