--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -19,6 +19,7 @@
 	Seconds  int      `long:"seconds" default:"15" description:"Length of a run's faults"`
 	Gateways int      `long:"gateways" default:"5" description:"Number of gateways"`
 	Callers  int      `long:"callers" default:"24" description:"Number of callers"`
+	Faults   []string `long:"fault" description:"Kind of fault to inject, of all if none is named; may be repeated"`
 	Defect   string   `long:"defect" description:"Deliberate defect to switch on; the binary needs the build tag defects"`
 }
 
@@ -34,7 +35,7 @@
 	for _, seed := range o.Seed {
 		n, err := soak.Run(soak.Options{
 			Binary: o.Binary, Seed: seed, Length: time.Duration(o.Seconds) * time.Second,
-			Gateways: o.Gateways, Callers: o.Callers, Defect: o.Defect,
+			Gateways: o.Gateways, Callers: o.Callers, Defect: o.Defect, Faults: o.Faults,
 		}, os.Stdout)
 		if err != nil {
 			fmt.Printf("VIOLATION seed %d: %v\n", seed, err)
--- a/proof/soak/faults.go
+++ b/proof/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 
@@ -108,9 +109,10 @@
 		do func()
 	}
 	var open []ending
+	kinds := s.kinds()
 	for end := time.Now().Add(length); time.Now().Before(end); {
 		time.Sleep(time.Duration(100+rng.IntN(900)) * time.Millisecond)
-		f := faults[rng.IntN(len(faults))]
+		f := kinds[rng.IntN(len(kinds))]
 		for series := 1 + rng.IntN(2); series > 0; series-- {
 			s.note(f.name)
 			if stop := f.begin(s, rng); stop != nil {
@@ -133,6 +135,20 @@
 	s.note("all faults end")
 }
 
+// kinds returns the kinds of fault to inject.
+func (s *Soak) kinds() []fault {
+	if len(s.options.Faults) == 0 {
+		return faults
+	}
+	var kinds []fault
+	for _, f := range faults {
+		if slices.Contains(s.options.Faults, f.name) {
+			kinds = append(kinds, f)
+		}
+	}
+	return kinds
+}
+
 func (s *Soak) note(text string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/proof/soak/fleet.go
+++ b/proof/soak/fleet.go
@@ -28,7 +28,10 @@
 	ended   chan struct{} // closed at the end of the process
 	started time.Time
 	calm    time.Time // no fault has touched it since
-	closing bool
+	// disturbed is the last fault at the gateway other than a stop and a reload, and
+	// stopped when it was last told to stop.
+	disturbed, stopped time.Time
+	closing            bool
 }
 
 func (g *gatewayNode) callers() string {
@@ -115,14 +118,32 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.calm = time.Now()
+	switch sig {
+	case syscall.SIGTERM:
+		g.stopped = g.calm
+	case syscall.SIGHUP:
+	default:
+		g.disturbed = g.calm
+	}
 	_ = g.process.Process.Signal(sig) // it may just have ended
 }
 
+// stoppedOnly reports whether the gateway was told to stop before the end of a request, and
+// nothing else has happened to it since contact before the request was sent.
+func (g *gatewayNode) stoppedOnly(sent, end time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return end.Sub(g.stopped) < stopGrace+time.Second && sent.Sub(g.disturbed) > contact
+}
+
+// stopGrace is the time that gateways have to stop.
+const stopGrace = 6 * time.Second
+
 // touched notes a fault at the gateway.
 func (g *gatewayNode) touched() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.calm = time.Now()
+	g.calm, g.disturbed = time.Now(), time.Now()
 }
 
 // since returns when the present process started and since when no fault touched
--- /dev/null
+++ b/proof/soak/pipeline.go
@@ -0,0 +1,151 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/baobabstack/baobabstack/platform"
+)
+
+const (
+	// pipelineInterval bounds the pause between two requests on a connection: some are
+	// shorter than a request runs, some are longer.
+	pipelineInterval = 2 * workTime
+	// pipelineTime bounds how long a connection is used.
+	pipelineTime = 8 * time.Second
+	// networkDelay is the time that an answer takes to its caller, who goes on sending.
+	networkDelay = 3 * time.Millisecond
+)
+
+// pipeline is a connection on which a caller sends requests at intervals, whether those
+// before are answered or not.
+type pipeline struct {
+	soak    *Soak
+	gateway *gatewayNode
+	raw     net.Conn
+
+	mu      sync.Mutex
+	pending []claim
+	closing bool // an answer ends the connection, or the connection has ended
+	ended   chan struct{}
+}
+
+// pipeliningCaller uses one connection after the other until the context ends.
+func (s *Soak) pipeliningCaller(ctx context.Context, rng *rand.Rand) {
+	for ctx.Err() == nil {
+		g := s.gateways[rng.IntN(len(s.gateways))]
+		raw, err := net.DialTimeout("tcp", g.callers(), callerDeadline)
+		if err != nil {
+			time.Sleep(callerPause)
+			continue
+		}
+		p := &pipeline{soak: s, gateway: g, raw: raw, ended: make(chan struct{})}
+		go p.receive()
+		pause := time.Duration(rng.Int64N(int64(pipelineInterval)))
+		for end := time.Now().Add(time.Duration(rng.Int64N(int64(pipelineTime)))); ctx.Err() == nil && time.Now().Before(end) && p.send(); {
+			time.Sleep(pause)
+		}
+		p.finish()
+	}
+}
+
+// send sends a request. It returns false if the connection takes no more.
+func (p *pipeline) send() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closing {
+		return false
+	}
+	c := claim{id: fmt.Sprintf("p%d", serial.Add(1)), gateway: p.gateway, sent: time.Now()}
+	p.pending = append(p.pending, c)
+	names := platform.Dialect()
+	_, err := fmt.Fprintf(p.raw, "GET /%s HTTP/1.1\r\nHost: look.example\r\n%s: %s\r\n%s: %d\r\n\r\n", c.id, names.CallID, c.id, names.Deadline, callerDeadline.Milliseconds())
+	return err == nil // the receiver sees the end of the connection too
+}
+
+// receive reads answers until the connection ends.
+func (p *pipeline) receive() {
+	defer close(p.ended)
+	reader := bufio.NewReader(p.raw)
+	for {
+		if _, err := reader.Peek(1); err != nil {
+			break
+		}
+		time.Sleep(networkDelay)
+		res, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			break
+		}
+		_, err = io.Copy(io.Discard, res.Body)
+		_ = res.Body.Close()
+		if err != nil {
+			break
+		}
+		if p.answered(res) {
+			return
+		}
+	}
+	p.cut()
+}
+
+// answered notes the answer to the oldest request, and returns true if it ends the
+// connection. Requests behind it count as not read.
+func (p *pipeline) answered(res *http.Response) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.pending) == 0 {
+		p.soak.violation("", "%s sent an answer that nobody had asked for: %d %v", p.gateway.id, res.StatusCode, res.Header)
+		return true
+	}
+	c := p.pending[0]
+	p.pending = p.pending[1:]
+	if id := res.Header.Get(platform.Dialect().CallID); id != c.id && res.StatusCode == http.StatusOK {
+		p.soak.violation(c.id, "the answer to %q in place of its own", id)
+	}
+	c.status = res.StatusCode
+	p.soak.claimed(c)
+	p.closing = res.Close
+	if res.Close {
+		p.soak.behindClosing(p.pending)
+	}
+	return res.Close
+}
+
+// cut notes the requests that were in time when the connection ended without their answers.
+func (p *pipeline) cut() {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closing = true
+	for _, c := range p.pending {
+		if now.Sub(c.sent) < callerDeadline && p.gateway.stoppedOnly(c.sent, now) {
+			p.soak.cutAtStop(c)
+		}
+		p.soak.claimed(c)
+	}
+}
+
+// finish waits for the answers that are outstanding and closes the connection.
+func (p *pipeline) finish() {
+	_ = p.raw.SetReadDeadline(time.Now().Add(2 * callerDeadline))
+	for end := time.Now().Add(2 * callerDeadline); time.Now().Before(end); time.Sleep(workTime) {
+		p.mu.Lock()
+		done := len(p.pending) == 0 || p.closing
+		p.mu.Unlock()
+		if done {
+			break
+		}
+	}
+	p.mu.Lock()
+	p.closing = true
+	p.mu.Unlock()
+	_ = p.raw.Close()
+	<-p.ended
+}
--- a/proof/soak/soak.go
+++ b/proof/soak/soak.go
@@ -30,6 +30,8 @@
 	// Defect names a deliberate defect to switch on; the binary must have been
 	// built with the tag defects.
 	Defect string
+	// Faults names the kinds of fault to inject; empty means all.
+	Faults []string
 }
 
 const (
@@ -44,6 +46,8 @@
 	contact     = 3 * time.Second
 	// recovery is the platform's bound after the last fault.
 	recovery = 15 * time.Second
+	// callersPerPipeline is the number of callers for each that pipelines its requests.
+	callersPerPipeline = 6
 	// recoveryChecks requests are sent then, of which nine in ten must be served.
 	recoveryChecks = 50
 )
@@ -60,6 +64,8 @@
 	mu          sync.Mutex
 	servers     []*serverNode
 	claims      []claim
+	behind      []claim // sent behind an answer that ended their connections
+	cut         []claim // unanswered on connections that a gateway ended while it stopped
 	history     []string
 	violations  []string
 	version     int
@@ -101,6 +107,9 @@
 	for i := range s.options.Callers {
 		running.Go(func() { s.caller(ctx, rand.New(rand.NewPCG(s.options.Seed, uint64(i)+1))) }) //nolint:gosec // not secret
 	}
+	for i := range s.options.Callers / callersPerPipeline {
+		running.Go(func() { s.pipeliningCaller(ctx, rand.New(rand.NewPCG(s.options.Seed, uint64(i)+1<<32))) }) //nolint:gosec // not secret
+	}
 	for _, g := range s.gateways {
 		running.Go(func() { s.watchVersions(ctx, g) })
 	}
@@ -162,6 +171,16 @@
 			s.violation(c.id, "an unsafe request was said not to have run, with status %d, and ran", c.status)
 		}
 	}
+	for _, c := range s.behind {
+		if runs[c.id] > 0 {
+			s.violation(c.id, "a request behind an answer that ended its connection ran; its caller sends it again")
+		}
+	}
+	for _, c := range s.cut {
+		if runs[c.id] > 0 {
+			s.violation(c.id, "%s ran the request and ended its connection without an answer while it stopped", c.gateway.id)
+		}
+	}
 	windows := 1 + time.Since(s.begin).Seconds()/10
 	if extra := arrivals["book"] - requests["book"]; float64(extra) > 0.2*float64(requests["book"])+retrySlack*windows {
 		s.violation("", "%d extra sends beside %d unsafe requests", extra, requests["book"])
@@ -245,6 +264,20 @@
 	s.claims = append(s.claims, c)
 }
 
+// behindClosing notes requests that were sent behind an answer that ends their connection.
+func (s *Soak) behindClosing(list []claim) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.behind = append(s.behind, list...)
+}
+
+// cutAtStop notes a request without an answer on a connection that a gateway ended.
+func (s *Soak) cutAtStop(c claim) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cut = append(s.cut, c)
+}
+
 func (s *Soak) serverList() []*serverNode {
 	s.mu.Lock()
 	defer s.mu.Unlock()
