upstream: Don't take a refusal that was sent again for another call's

Reported by another operator: a server writes an earlier refusal once more on a kept connection, and the next caller is told that its call has not run.

Cause: refusals are told apart by the id of their call. Calls without an id, and calls with the same id again, took the repeated refusal for their own.

Change: a connection remembers which ids were refused on it; a second refusal with one of them promises nothing and ends the connection, as does an answer without an id.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -29,6 +29,8 @@
 	// maxAnswersRead limits the answers read for one request. Interim answers and late
 	// answers to other requests count too.
 	maxAnswersRead = 8
+	// maxRefusals limits the refusals on a connection that is kept.
+	maxRefusals = 16
 	// readBufferBytes is enough to read a head and most bodies at once.
 	readBufferBytes = 4 << 10
 	// userTimeoutMillis is TCP_USER_TIMEOUT in milliseconds: the kernel closes a connection
@@ -57,6 +59,9 @@
 	fresh bool
 	// keep says that the connection can be reused after the last answer.
 	keep bool
+	// refused holds the ids of calls that the server has refused on this connection. A
+	// second refusal with one of them may be the first one, sent again.
+	refused map[string]struct{}
 	// keepAliveTimeout is how long the server keeps an idle connection open, 0 if unknown.
 	keepAliveTimeout time.Duration
 }
@@ -159,6 +164,21 @@
 	}
 }
 
+// noteRefusal records the refusal of a call. It returns false if the server has refused a
+// call with that id on this connection before, and ends the use of the connection then.
+func (c *conn) noteRefusal(id string) bool {
+	if _, again := c.refused[id]; again {
+		c.keep = false
+		return false
+	}
+	if c.refused == nil {
+		c.refused = make(map[string]struct{})
+	}
+	c.refused[id] = struct{}{}
+	c.keep = c.keep && len(c.refused) < maxRefusals
+	return true
+}
+
 // readBody returns the whole body, or an error if it is incomplete, exceeds the limits or
 // finds no memory.
 func readBody(res *http.Response, limits answerLimits) ([]byte, error) {
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -233,10 +233,11 @@
 }
 
 var (
-	errUnsigned      = errors.New("the answer does not come from the server's application")
-	errNoCallID      = errors.New("the answer does not name the call that it belongs to")
-	errFalsePromise  = errors.New("the status promises that the call has not run, but the server does not say so")
-	errContentCoding = errors.New("the answer has a Content-Encoding, which was not requested")
+	errUnsigned        = errors.New("the answer does not come from the server's application")
+	errNoCallID        = errors.New("the answer does not name the call that it belongs to")
+	errFalsePromise    = errors.New("the status promises that the call has not run, but the server does not say so")
+	errRepeatedRefusal = errors.New("the refusal may be an earlier one that the server has sent again")
+	errContentCoding   = errors.New("the answer has a Content-Encoding, which was not requested")
 )
 
 // Send sends a call and reads the whole answer, until the call's deadline or the end of
@@ -277,9 +278,14 @@
 		return Result{Err: err}
 	}
 	if call.ID != "" && m.header.Get(d.CallID) == "" {
+		l.conn.keep = false // what is still to come can't be told from the answer to the next call
 		return Result{Err: errors.Wrapf(errNoCallID, "status %d", m.status)}
 	}
-	return s.classify(m)
+	r := s.classify(m)
+	if r.Outcome == NotRun && !l.conn.noteRefusal(call.ID) {
+		return Result{Status: r.Status, Err: errors.Wrapf(errRepeatedRefusal, "status %d", r.Status)}
+	}
+	return r
 }
 
 // classify returns the result for an answer: NotRun for a rejection, Unknown for an answer
