fleet: Take updates larger than 4 MB from a source

Cause: gRPC's default limit on received messages. With eight records of 1 MB in the store no gateway could follow another; each had to read the store itself.

Evidence: TestFollowerTakesAnUpdateOfManyMegabytes failed before ('ResourceExhausted: received message larger than max') and passes.

--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -158,7 +158,8 @@
 func (p Peer) Run(ctx context.Context, _ uint64, deliver func(discovery.Batch)) error {
 	conn, err := grpc.NewClient("passthrough:///"+p.target.Address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithNoProxy(),
-		grpc.WithReadBufferSize(bufferBytes), grpc.WithWriteBufferSize(bufferBytes))
+		grpc.WithReadBufferSize(bufferBytes), grpc.WithWriteBufferSize(bufferBytes),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxUnpackedBytes)))
 	if err != nil {
 		return errors.Wrapf(err, "connect to %s", p.target.Address)
 	}
--- a/internal/fleet/lost_source_test.go
+++ b/internal/fleet/lost_source_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/baobabstack/baobabstack/internal/discovery"
 	"github.com/baobabstack/baobabstack/internal/fleetwire"
@@ -112,3 +115,34 @@
 	t.Logf("the change was known after %s", took)
 	assert.Assert(t, took < discovery.DefaultChangeBound)
 }
+
+// Guards against followers that stop following: large values that another writer left in the
+// store made the full update larger than a message may be by default.
+func TestFollowerTakesAnUpdateOfManyMegabytes(t *testing.T) {
+	random := rand.NewChaCha8([32]byte{})
+	feed := &fakeFeed{full: discovery.Batch{Full: true, Revision: 7}, changes: make(chan discovery.Batch)}
+	for i := range 8 {
+		value := make([]byte, 1<<20)
+		_, _ = random.Read(value)
+		feed.full.Items = append(feed.full.Items, discovery.Item{Key: strconv.Itoa(i), Value: value, Revision: 7})
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	address, err := standin.FreeAddress()
+	assert.NilError(t, err)
+	go func() { _ = NewService(address, NewMembers(testMember("r", "x", 100)), feed, testTiming).Serve(ctx) }()
+	target := testMember("r", "x", 100)
+	target.Address = address
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		items := 0
+		runCtx, stop := context.WithCancel(ctx)
+		err := Peer{members: NewMembers(testMember("f", "x", 1)), target: target, timing: testTiming}.Run(runCtx, 0, func(b discovery.Batch) {
+			items = len(b.Items)
+			stop()
+		})
+		if items != len(feed.full.Items) {
+			return poll.Continue("%d items: %v", items, err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second))
+}
