upstream: Learn from answers that a server leaves or wants a pause

Change: Standing holds what a run of a server has asked for, taken from the head of each of its answers, health checks and answers to other calls included, but not those of another server at the address. It is checked just before a call or a health check is written.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -108,13 +108,15 @@
 	return n, errors.WithStack(err)
 }
 
-// answerLimits bounds what is read of an answer.
+// answerLimits bounds what is read of an answer, and says who sees its head.
 type answerLimits struct {
 	// bodyBytes is the largest body.
 	bodyBytes int
 	// reserve is asked for memory before the buffer of a body grows by that many bytes;
 	// nil allows all.
 	reserve func(bytes int) bool
+	// observe is called with the head of each answer before its body is read; nil for none.
+	observe func(status int, h http.Header)
 }
 
 // read returns the answer to the last request. It skips interim answers, and answers for
@@ -131,6 +133,9 @@
 			}
 			return response{}, errors.Wrap(err, "read the answer")
 		}
+		if limits.observe != nil {
+			limits.observe(res.StatusCode, res.Header)
+		}
 		c.limited.N = int64(limits.bodyBytes) + maxHeadBytes
 		body, err := readBody(res, limits)
 		if err != nil {
--- a/internal/upstream/dialect.go
+++ b/internal/upstream/dialect.go
@@ -22,6 +22,8 @@
 	NotRun string
 	// Signature is set on each answer made by the server's application.
 	Signature string
+	// Leaving is set on each answer of a server that leaves and takes no new work.
+	Leaving string
 	// ParseLoad parses the load header; it returns false if the value is malformed.
 	ParseLoad func(value string) (Load, bool)
 }
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -23,6 +23,8 @@
 	MaxBodyBytes int
 	// Dialect names the headers that the server reads and writes.
 	Dialect *Dialect
+	// Standing is what this run of the server has asked for before; nil for nothing.
+	Standing *Standing
 }
 
 // Server is a client of one backend server. It is safe for concurrent use.
@@ -36,6 +38,9 @@
 
 // NewServer returns a client that has no connections yet.
 func NewServer(o Options) *Server {
+	if o.Standing == nil {
+		o.Standing = NewStanding(func(Notice) {})
+	}
 	return &Server{
 		options: o, pool: pool{address: o.Address},
 		checkRequest: []byte("GET " + o.HealthPath + " HTTP/1.1\r\nHost: " + o.Address + "\r\n\r\n"),
@@ -48,6 +53,19 @@
 // SetConnectionLimit limits the open connections; 0 means unlimited.
 func (s *Server) SetConnectionLimit(limit int) { s.pool.setLimit(limit) }
 
+// Standing returns what the server has asked for.
+func (s *Server) Standing() *Standing { return s.options.Standing }
+
+// observe takes what the head of an answer asks for, unless the answer is another server's.
+func (s *Server) observe(status int, h http.Header) {
+	d := s.options.Dialect
+	id := h.Get(d.ServerID)
+	if status == http.StatusMisdirectedRequest || (id != "" && id != s.options.ID) {
+		return
+	}
+	s.options.Standing.observe(d, status, h, h.Get(d.CallID), time.Now())
+}
+
 // HasIdle reports whether a connection is idle.
 func (s *Server) HasIdle() bool { return s.pool.hasIdle(time.Now()) }
 
@@ -81,8 +99,11 @@
 
 // Probe sends a health check. The lease allows a call on the same connection; it is nil
 // if that connection can't be reused. If the health check fails on an idle connection, it
-// is sent once more on a new one.
+// is sent once more on a new one. It fails with ErrLeftAlone if the server wants no requests.
 func (s *Server) Probe(ctx context.Context, timeout time.Duration) (Health, *Lease, error) {
+	if !s.options.Standing.Available(time.Now()) {
+		return Health{}, nil, errors.WithStack(ErrLeftAlone)
+	}
 	deadline := time.Now().Add(timeout)
 	c, err := s.pool.get(ctx, timeout, false)
 	if err != nil {
@@ -90,7 +111,7 @@
 	}
 	reused := !c.fresh
 	h, err := s.healthCheck(ctx, c, deadline)
-	if err != nil && reused && ctx.Err() == nil && time.Now().Before(deadline) {
+	if err != nil && reused && ctx.Err() == nil && time.Now().Before(deadline) && s.options.Standing.Available(time.Now()) {
 		// The server closed an idle connection, and may have closed the others as well.
 		s.pool.closeIdleBefore(time.Now())
 		if c, err = s.pool.get(ctx, time.Until(deadline), true); err != nil {
@@ -130,10 +151,13 @@
 }
 
 func (s *Server) exchangeCheck(c *conn, deadline time.Time) (response, error) {
+	if !s.options.Standing.Available(time.Now()) { // it may have asked while the connection was opened
+		return response{}, errors.WithStack(ErrLeftAlone)
+	}
 	if _, err := c.write(s.checkRequest, deadline); err != nil {
 		return response{}, err
 	}
-	return c.read(http.MethodGet, answerLimits{bodyBytes: maxCheckBodyBytes}, func(_ int, h http.Header) bool {
+	return c.read(http.MethodGet, answerLimits{bodyBytes: maxCheckBodyBytes, observe: s.observe}, func(_ int, h http.Header) bool {
 		return h.Get(s.options.Dialect.CallID) == ""
 	})
 }
@@ -241,7 +265,7 @@
 )
 
 // Send sends a call and reads the whole answer, until the call's deadline or the end of
-// the context. Without an answer it closes the connection, which tells the server that the
+// the context. It sends nothing, with ErrLeftAlone, if the server wants no requests. Without an answer it closes the connection, which tells the server that the
 // caller no longer waits. Usable reports whether the lease may carry another call.
 func (l *Lease) Send(ctx context.Context, call *Call) Result {
 	s := l.server
@@ -263,6 +287,9 @@
 
 func (l *Lease) exchange(call *Call) Result {
 	s := l.server
+	if !s.options.Standing.Available(time.Now()) {
+		return Result{Outcome: NotRun, Err: errors.WithStack(ErrLeftAlone)}
+	}
 	if n, err := l.conn.write(s.encode(call), call.Deadline); err != nil {
 		if n == 0 {
 			return Result{Outcome: NotRun, Err: err}
@@ -270,7 +297,7 @@
 		return Result{Err: err}
 	}
 	d := s.options.Dialect
-	m, err := l.conn.read(call.Method, answerLimits{bodyBytes: s.options.MaxBodyBytes, reserve: call.Reserve}, func(_ int, h http.Header) bool {
+	m, err := l.conn.read(call.Method, answerLimits{bodyBytes: s.options.MaxBodyBytes, reserve: call.Reserve, observe: s.observe}, func(_ int, h http.Header) bool {
 		id := h.Get(d.CallID)
 		return id == "" || id == call.ID
 	})
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -14,7 +14,7 @@
 )
 
 var dialect = &Dialect{
-	CallID: "Call-Id", Deadline: "Left", ExpectServer: "For", ServerID: "Server-Id", Load: "Load", NotRun: "Not-Run", Signature: "Signed",
+	CallID: "Call-Id", Deadline: "Left", ExpectServer: "For", ServerID: "Server-Id", Load: "Load", NotRun: "Not-Run", Signature: "Signed", Leaving: "Leaving",
 	LoadCountsCall: true,
 	ParseLoad: func(value string) (Load, bool) {
 		return Load{Running: len(value), Slots: 6, Slowness: 1}, value != ""
