gateway: Leave servers alone that leave or ask for a pause

Change: the choice of servers omits those that leave or pause and tries those that refuse despite free slots now and then; queued, handed, hedged and repeated sends check again. A standing outlasts a record that lapses. If all servers pause, callers are refused at once with the end of the first pause; if all leave, at once too. Log lines and a counter say when a server is left alone and taken back.

--- a/Makefile
+++ b/Makefile
@@ -93,7 +93,7 @@
 # Shows that the soak finds each deliberate defect: every line must end in violations.
 soak-defects:
 	go build -tags defects -o $(BIN)/defects/ ./cmd/baobabstack
-	@for defect in gateway-resend-unsafe gateway-refuse-unknown gateway-ignore-leaving gateway-pass-cut-answers; do \
+	@for defect in gateway-resend-unsafe gateway-refuse-unknown gateway-ignore-leaving gateway-ignore-standing gateway-pass-cut-answers; do \
 		echo "== $$defect"; \
 		if $(BIN)/soak --binary $(BIN)/defects/baobabstack --defect $$defect --seconds 25 --seed 1 --seed 2 | grep -E '^(seed|VIOLATION)' | head -3; then :; fi; \
 	done
--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/baobabstack/baobabstack/internal/placement"
 	"github.com/baobabstack/baobabstack/internal/upstream"
 )
@@ -64,17 +66,25 @@
 }
 
 // eligibleTargets returns the servers to check, in groups of rankGroupSize and within
-// a group the most promising first. It omits servers in backoff and those already tried.
-func eligibleTargets(from []*target, tried map[*upstream.Server]bool, demand placement.Demand, now time.Time) []*target {
+// a group the most promising first, but servers on trial before all others. It omits
+// servers in backoff, those already tried and those that take no calls at present.
+func eligibleTargets(from []*target, state *serviceState, tried map[*upstream.Server]bool, demand placement.Demand, now time.Time) []*target {
 	type ranked struct {
 		t     *target
 		order int
 	}
+	var trials []*target
 	list := make([]ranked, 0, len(from))
 	for _, t := range from {
-		if !tried[t.server] && !t.health.inBackoff(now) {
+		if tried[t.server] || t.health.inBackoff(now) {
+			continue
+		}
+		switch t.restraint(int(state.sends.Load()), rand.Float64(), now) {
+		case unrestrained:
 			rank := placement.RankServer(t.candidate(now), now.Sub(t.health.loadAt()), demand)
 			list = append(list, ranked{t, placement.CheckOrder(rank, t.server.HasIdle())})
+		case onTrial:
+			trials = append(trials, t)
 		}
 	}
 	for rest := list; len(rest) > 0; {
@@ -83,13 +93,26 @@
 		slices.SortStableFunc(group, func(a, b ranked) int { return cmp.Compare(a.order, b.order) })
 		rest = rest[len(group):]
 	}
-	out := make([]*target, 0, len(list))
+	out := make([]*target, 0, len(trials)+len(list))
+	out = append(out, trials...)
 	for _, r := range list {
 		out = append(out, r.t)
 	}
 	return out
 }
 
+// leftOutTargets returns the servers of a service that are available but left out. They are
+// the last resort.
+func leftOutTargets(svc *service, tried map[*upstream.Server]bool, now time.Time) []*target {
+	var out []*target
+	for _, t := range slices.Concat(svc.local, svc.remote) {
+		if !tried[t.server] && !t.health.inBackoff(now) && t.available(now) {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
 // findServer checks servers of the gateway's own data centre until one is good. If none
 // is, it checks others: in other data centres if the best one found is full or far too slow,
 // else more of its own. It returns the best one. It chooses a server without a check if no
@@ -104,13 +127,13 @@
 	if svc.state.checkBudget.RunningLow(rate, now) {
 		limit = maxChecksWhenScarce
 	}
-	local := eligibleTargets(svc.local, tried, demand, now)
+	local := eligibleTargets(svc.local, svc.state, tried, demand, now)
 	first := min(maxLocalChecks, limit, len(local))
 	best := d.checkUntilGood(ctx, svc, local[:first], nil, demand, rate)
 	if best == nil || !best.candidate.Good(demand) {
 		more := local[first:]
 		if best == nil || placement.NeedsRemote(best.candidate, demand) || len(more) == 0 {
-			more = eligibleTargets(svc.remote, tried, demand, now)
+			more = eligibleTargets(svc.remote, svc.state, tried, demand, now)
 		}
 		best = d.checkUntilGood(ctx, svc, more[:min(limit-first, len(more))], best, demand, rate)
 	}
@@ -148,9 +171,9 @@
 	if !svc.state.checkBudget.HasSpare(rate, now) {
 		return nil
 	}
-	order := eligibleTargets(svc.local, tried, demand, now)
+	order := eligibleTargets(svc.local, svc.state, tried, demand, now)
 	if len(order) < concurrentChecks {
-		order = append(order, eligibleTargets(svc.remote, tried, demand, now)...)
+		order = append(order, eligibleTargets(svc.remote, svc.state, tried, demand, now)...)
 	}
 	found, _ := d.checkTargets(ctx, svc, order[:min(concurrentChecks, len(order))], demand, rate)
 	return found
@@ -222,7 +245,7 @@
 	h, lease, err := t.server.Probe(ctx, checkTimeout)
 	now := time.Now()
 	if err != nil {
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && !errors.Is(err, upstream.ErrLeftAlone) {
 			t.health.recordFailedCheck(now)
 			d.metrics.unansweredChecks.Inc()
 		}
@@ -248,9 +271,12 @@
 // serves services whose servers don't report their load, and requests for which no
 // server answers in time.
 func (d *dispatcher) chooseUnchecked(ctx context.Context, svc *service, demand placement.Demand, tried map[*upstream.Server]bool, now time.Time) *leasedServer {
-	targets := eligibleTargets(svc.local, tried, demand, now)
+	targets := eligibleTargets(svc.local, svc.state, tried, demand, now)
+	if len(targets) == 0 {
+		targets = eligibleTargets(svc.remote, svc.state, tried, demand, now)
+	}
 	if len(targets) == 0 {
-		targets = eligibleTargets(svc.remote, tried, demand, now)
+		targets = leftOutTargets(svc, tried, now)
 	}
 	candidates := make([]placement.Candidate, 0, len(targets))
 	for _, t := range targets {
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"sync"
@@ -61,6 +62,10 @@
 		if ls == nil {
 			return s.failureAnswer(refused)
 		}
+		if !ls.target.available(time.Now()) { // it has just asked to be left alone
+			ls.release()
+			continue
+		}
 		if s.sends > 0 && !r.service.state.retryBudget.Take(d.retrySlack(), time.Now()) {
 			ls.release()
 			return s.failureAnswer("retry-budget")
@@ -95,6 +100,8 @@
 	sends int
 	// mayHaveRun says that a server may have executed the request.
 	mayHaveRun bool
+	// retryAfter is when the caller may come back, from now; 0 leaves that to placement.
+	retryAfter time.Duration
 	// lastAnswer is the latest error response of a server.
 	lastAnswer *upstream.Result
 }
@@ -106,6 +113,9 @@
 		return s.serverAnswer(&r), true
 	}
 	s.recordFailure(&r)
+	if errors.Is(r.Err, upstream.ErrLeftAlone) {
+		s.sends-- // nothing was sent
+	}
 	again := s.sends < s.route.Attempts && ctx.Err() == nil
 	if again && (s.route.Idempotent || r.Outcome == upstream.NotRun || defect.On("gateway-resend-unsafe")) {
 		return answer{}, false
@@ -140,7 +150,7 @@
 	case s.mayHaveRun:
 		return answer{status: http.StatusBadGateway, reason: reason}
 	default:
-		return answer{status: http.StatusServiceUnavailable, reason: reason, retryAfter: placement.RetryAfter(time.Until(s.deadline))}
+		return answer{status: http.StatusServiceUnavailable, reason: reason, retryAfter: cmp.Or(s.retryAfter, placement.RetryAfter(time.Until(s.deadline)))}
 	}
 }
 
@@ -160,6 +170,7 @@
 func (s *dispatchState) startSend(ls *leasedServer) int {
 	now := time.Now()
 	s.sends++
+	s.service.state.sends.Add(1)
 	s.tried[ls.target.server] = true
 	ls.target.health.recordSend(now)
 	return s.trace.addSend(ls, now)
@@ -183,7 +194,7 @@
 func (d *dispatcher) offerToQueue(svc *service, ls *leasedServer, r *upstream.Result) {
 	now := time.Now()
 	next := &leasedServer{target: ls.target, lease: ls.lease, candidate: ls.target.candidate(now), answeredAt: now}
-	if r.HasLoad && ls.lease.Usable() && next.candidate.HasFreeSlot() && next.candidate.Slowness < maxHandoffSlowness {
+	if r.HasLoad && ls.lease.Usable() && ls.target.available(now) && !ls.target.health.leftOut() && next.candidate.HasFreeSlot() && next.candidate.Slowness < maxHandoffSlowness {
 		svc.state.handToFirst(next)
 		return
 	}
@@ -206,6 +217,9 @@
 	now := time.Now()
 	h := ls.target.health
 	h.recordLoad(r.Load, r.HasLoad)
+	if d.recordRefusals(req, ls, r, now) || errors.Is(r.Err, upstream.ErrLeftAlone) {
+		return
+	}
 	switch {
 	case r.WrongServer:
 		h.recordFailedCheck(now)
--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -32,7 +32,8 @@
 	load                  upstream.Load
 	loadKnown             bool
 	sentAt                time.Time // when the last call was sent
-	averageLatencySeconds float64   // moving average of calls that did not fail; starts at 0
+	refusals              placement.Refusals
+	averageLatencySeconds float64 // moving average of calls that did not fail; starts at 0
 }
 
 // recordCall updates the failure rate with the end of a call, and the average
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -36,6 +36,11 @@
 	c.requestSeconds.Update(took.Seconds())
 }
 
+// countLeftAlone counts a server that gets no calls for a time, by the reason.
+func countLeftAlone(reason string) {
+	metrics.GetOrCreateCounter(`baobabstack_gateway_servers_left_alone_total{reason="` + reason + `"}`).Inc()
+}
+
 // maxAuxBodyBytes bounds request bodies on the auxiliary listeners.
 const maxAuxBodyBytes = 4 << 10
 
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -20,15 +20,12 @@
 	defer func() { state.dequeue(w) }()
 	var handed *leasedServer
 	for {
-		demand := d.demand(s.request)
-		switch {
-		case demand.TimeLeft <= 0 || ctx.Err() != nil:
+		demand, now := d.demand(s.request), time.Now()
+		if reason := s.cannotBeSent(ctx, demand, now); reason != "" {
 			handed.release()
-			return nil, "deadline"
-		case len(s.service.local)+len(s.service.remote) == 0:
-			return nil, "no-server"
+			return nil, reason
 		}
-		if handed != nil && !s.tried[handed.target.server] {
+		if handed != nil && !s.tried[handed.target.server] && handed.target.available(now) {
 			return handed, ""
 		}
 		handed.release()
@@ -55,6 +52,27 @@
 	}
 }
 
+// cannotBeSent returns the reason to refuse a request at once, or "". If all servers have
+// asked for pauses, the caller is told when the first of them ends.
+func (s *dispatchState) cannotBeSent(ctx context.Context, demand placement.Demand, now time.Time) string {
+	switch {
+	case demand.TimeLeft <= 0 || ctx.Err() != nil:
+		return "deadline"
+	case len(s.service.local)+len(s.service.remote) == 0:
+		return "no-server"
+	}
+	until, closed := s.service.closedUntil(now)
+	switch {
+	case !closed:
+		return ""
+	case until.IsZero():
+		return "all-leaving"
+	default:
+		s.retryAfter = until.Sub(now)
+		return "all-paused"
+	}
+}
+
 // search returns the best server found, or nil. A queued request checks only a few
 // servers until MaxQueueTime after it was received.
 func (d *dispatcher) search(ctx context.Context, s *dispatchState, demand placement.Demand, queued bool) *leasedServer {
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -38,7 +38,8 @@
 type serviceState struct {
 	retryBudget    *placement.RetryBudget
 	checkBudget    placement.TokenBucket
-	loadUnreported atomic.Bool // a server has answered a health check without its load
+	loadUnreported atomic.Bool  // a server has answered a health check without its load
+	sends          atomic.Int64 // calls sent to servers of the service
 
 	mu    sync.Mutex
 	queue placement.Queue
@@ -61,10 +62,12 @@
 	options  *Options
 	targets  map[string]*target
 	services map[string]*serviceState
+	// standings holds what each run of a server has asked for.
+	standings map[serverRun]*keptStanding
 }
 
 func newRegistry(o *Options) *registry {
-	return &registry{options: o, targets: make(map[string]*target), services: make(map[string]*serviceState)}
+	return &registry{options: o, targets: make(map[string]*target), services: make(map[string]*serviceState), standings: make(map[serverRun]*keptStanding)}
 }
 
 // build returns the snapshot of a view. It closes the connections to servers that are no
@@ -103,6 +106,7 @@
 		}
 	}
 	r.targets = next
+	r.forgetStandings(now)
 	return s
 }
 
@@ -132,6 +136,7 @@
 // the server restarts, or its address or service changes.
 func (r *registry) target(info discovery.Server, configured routing.Service, limit int, now time.Time) *target {
 	old, ok := r.targets[info.ID]
+	standing := r.standing(info, now)
 	if ok && old.info == info {
 		old.server.SetConnectionLimit(limit)
 		return old
@@ -146,7 +151,7 @@
 	} else {
 		t.server = upstream.NewServer(upstream.Options{
 			ID: info.ID, Address: info.Address, HealthPath: configured.HealthPath,
-			MaxBodyBytes: maxAnswerBytes(r.options.MaxBodyBytes, r.options.Settings.VM.MemoryMB), Dialect: r.options.Dialect,
+			MaxBodyBytes: maxAnswerBytes(r.options.MaxBodyBytes, r.options.Settings.VM.MemoryMB), Dialect: r.options.Dialect, Standing: standing,
 		})
 		t.health = &health{}
 		t.checkOrder = r.checkOrder(info.ID)
