soak: Play servers that leave by their answers, pause or refuse

Servers say in their answers that they leave while the store lists them as ready, ask for pauses of 0.7 to 3.7 s, or refuse despite free slots, together with all other faults. The checks go by what servers and clients see of each gateway.

--- a/proof/soak/callers.go
+++ b/proof/soak/callers.go
@@ -19,9 +19,16 @@
 	unsafe  bool
 	status  int // 0 without an answer
 	gateway *gatewayNode
+	process time.Time // when the gateway's process started
 	sent    time.Time
 }
 
+// newClaim returns the claim of a request to a gateway.
+func newClaim(prefix string, g *gatewayNode) claim {
+	started, _ := g.since()
+	return claim{id: fmt.Sprintf("%s%d", prefix, serial.Add(1)), gateway: g, process: started, sent: time.Now()}
+}
+
 const (
 	callerDeadline = 900 * time.Millisecond
 	callerPause    = 40 * time.Millisecond
@@ -36,7 +43,8 @@
 	defer client.CloseIdleConnections()
 	for ctx.Err() == nil {
 		g := s.gateways[rng.IntN(len(s.gateways))]
-		c := claim{id: fmt.Sprintf("r%d", serial.Add(1)), unsafe: rng.IntN(3) == 0, gateway: g, sent: time.Now()}
+		c := newClaim("r", g)
+		c.unsafe = rng.IntN(3) == 0
 		service := "look"
 		if c.unsafe {
 			service = "book"
@@ -71,6 +79,9 @@
 	if err != nil {
 		return 0
 	}
+	if res.Header.Get(names.Leaving) != "" {
+		s.heardLeaving(c.gateway, res.Header.Get(names.ServerID))
+	}
 	if want := fmt.Sprintf("%s %s /%s ", c.id, method, c.id); res.StatusCode == http.StatusOK && (string(body) != want || res.Header.Get(names.Signature) != "sig-"+c.id) {
 		s.violation(c.id, "answer %q, signature %q, in place of its own", body, res.Header.Get(names.Signature))
 	}
--- a/proof/soak/faults.go
+++ b/proof/soak/faults.go
@@ -58,6 +58,14 @@
 	{"server hangs", onServer(failing(fake.Hang))},
 	{"server fails", onServer(failing(fake.Fail))},
 	{"server cuts answers short", onServer(failing(fake.CutShort))},
+	{"server says it leaves", func(s *Soak, rng *rand.Rand) func() { s.sayLeaving(rng); return nil }},
+	{"server asks for a pause", func(s *Soak, rng *rand.Rand) func() {
+		all := s.serverList()
+		n := all[rng.IntN(len(all))]
+		n.server.Refuse(fmt.Sprintf("%.2f", 0.7+3*rng.Float64()))
+		return n.server.Accept
+	}},
+	{"server refuses", onServer(func(n *serverNode) func() { n.server.Refuse(""); return n.server.Accept })},
 	{"server replaced", func(s *Soak, rng *rand.Rand) func() { s.replace(rng); return nil }},
 	{"configuration", func(s *Soak, _ *rand.Rand) func() { s.configure(); return nil }},
 	{"configurations", func(s *Soak, _ *rand.Rand) func() {
@@ -155,6 +163,24 @@
 	s.history = append(s.history, fmt.Sprintf("%7.3f s  %s", time.Since(s.begin).Seconds(), text))
 }
 
+// sayLeaving lets a server say in its answers that it leaves, while the store lists it as
+// ready, and starts another of its service.
+func (s *Soak) sayLeaving(rng *rand.Rand) {
+	all := s.serverList()
+	n := all[rng.IntN(len(all))]
+	n.mu.Lock()
+	first := !n.saysLeaving
+	n.saysLeaving = true
+	n.mu.Unlock()
+	if !first {
+		return
+	}
+	n.server.SayLeaving(true)
+	if err := s.startServer(n.service); err != nil {
+		s.violation("", "a server can't be started: %v", err)
+	}
+}
+
 // replace lets a server leave and starts another of its service.
 func (s *Soak) replace(rng *rand.Rand) {
 	all := s.serverList()
--- a/proof/soak/fleet.go
+++ b/proof/soak/fleet.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -31,7 +32,9 @@
 	// disturbed is the last fault at the gateway other than a stop and a reload, and
 	// stopped when it was last told to stop.
 	disturbed, stopped time.Time
-	closing            bool
+	// disturbances holds all such faults and the starts of processes.
+	disturbances []time.Time
+	closing      bool
 }
 
 func (g *gatewayNode) callers() string {
@@ -45,7 +48,9 @@
 	service string
 	mu      sync.Mutex
 	left    time.Time // when the store took that it leaves
-	calm    time.Time
+	// saysLeaving is set once the server's answers say that it leaves.
+	saysLeaving bool
+	calm        time.Time
 }
 
 // startGateways writes the settings of all gateways and starts them.
@@ -100,6 +105,7 @@
 	}
 	ended := make(chan struct{})
 	g.process, g.ended, g.started, g.calm = cmd, ended, time.Now(), time.Now()
+	g.disturbances = append(g.disturbances, g.started)
 	go func() {
 		_ = cmd.Wait() // ended by a fault, or by itself, which the log tells
 		_ = out.Close()
@@ -124,6 +130,7 @@
 	case syscall.SIGHUP:
 	default:
 		g.disturbed = g.calm
+		g.disturbances = append(g.disturbances, g.calm)
 	}
 	_ = g.process.Process.Signal(sig) // it may just have ended
 }
@@ -136,6 +143,14 @@
 	return end.Sub(g.stopped) < stopGrace+time.Second && sent.Sub(g.disturbed) > contact
 }
 
+// disturbedBetween reports whether a fault touched the gateway, or a process of it started,
+// in a span of time.
+func (g *gatewayNode) disturbedBetween(from, to time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.ContainsFunc(g.disturbances, func(at time.Time) bool { return at.After(from) && at.Before(to) })
+}
+
 // stopGrace is the time that gateways have to stop.
 const stopGrace = 6 * time.Second
 
@@ -144,6 +159,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.calm, g.disturbed = time.Now(), time.Now()
+	g.disturbances = append(g.disturbances, g.calm)
 }
 
 // since returns when the present process started and since when no fault touched
--- a/proof/soak/pipeline.go
+++ b/proof/soak/pipeline.go
@@ -63,7 +63,7 @@
 	if p.closing {
 		return false
 	}
-	c := claim{id: fmt.Sprintf("p%d", serial.Add(1)), gateway: p.gateway, sent: time.Now()}
+	c := newClaim("p", p.gateway)
 	p.pending = append(p.pending, c)
 	names := platform.Dialect()
 	_, err := fmt.Fprintf(p.raw, "GET /%s HTTP/1.1\r\nHost: look.example\r\n%s: %s\r\n%s: %d\r\n\r\n", c.id, names.CallID, c.id, names.Deadline, callerDeadline.Milliseconds())
--- a/proof/soak/soak.go
+++ b/proof/soak/soak.go
@@ -64,8 +64,9 @@
 	mu          sync.Mutex
 	servers     []*serverNode
 	claims      []claim
-	behind      []claim // sent behind an answer that ended their connections
-	cut         []claim // unanswered on connections that a gateway ended while it stopped
+	leaving     map[leavingAnswer]time.Time // when a caller first got such an answer
+	behind      []claim                     // sent behind an answer that ended their connections
+	cut         []claim                     // unanswered on connections that a gateway ended while it stopped
 	history     []string
 	violations  []string
 	version     int
@@ -79,7 +80,7 @@
 	if err != nil {
 		return 0, errors.Wrap(err, "make a directory for logs")
 	}
-	s := &Soak{options: o, dir: dir, store: fake.NewStore(), begin: time.Now()}
+	s := &Soak{options: o, dir: dir, store: fake.NewStore(), begin: time.Now(), leaving: make(map[leavingAnswer]time.Time)}
 	defer s.close()
 	s.configure()
 	for range 4 {
@@ -188,6 +189,7 @@
 	if rate := float64(checks) / time.Since(s.begin).Seconds() / float64(len(s.serverList())); rate > probesPerSecond {
 		s.violation("", "%.0f health checks a server and second, %d are allowed", rate, probesPerSecond)
 	}
+	s.checkStanding()
 	s.note(fmt.Sprintf("%d requests, %d health checks, %d calls to the store", len(s.claims), checks, s.store.Calls()))
 }
 
