gateway: Don't lose a connection handed to a request that is busy

Change: a request that was taken out of the queue always takes the hand-over, and passes it on if it can't use it.

Evidence: both cases of TestServerHandedToABusyRequestIsNotLost failed with the old queue ('the connection is lost') and pass; with -race too.

--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -41,7 +41,10 @@
 				return nil, "full"
 			}
 		}
-		if !state.isQueued(w) {
+		if handed = state.takeHandoff(w); handed != nil {
+			continue
+		}
+		if w == nil || w.received {
 			w = state.enqueue(s.route, time.Now().Add(demand.Objective-demand.ServiceTime))
 			s.trace.markQueued()
 		}
@@ -107,8 +110,10 @@
 type queuedRequest struct {
 	placement.Waiter
 	atHead bool
-	// handoff receives a server at which a call has just ended.
-	handoff chan *leasedServer
+	// handoff receives a server at which a call has just ended, exactly once if the request
+	// is taken out of the queue by another goroutine. received says that it has been read.
+	handoff  chan *leasedServer
+	received bool
 }
 
 // awaitTurn waits until the request may check servers again: recheckInterval after it is
@@ -123,6 +128,7 @@
 		case <-w.Turn:
 			w.atHead = true
 		case ls := <-w.handoff:
+			w.received = true
 			return ls, true
 		case <-limit.C:
 			return nil, true
@@ -135,6 +141,7 @@
 	select {
 	case <-pause.C:
 	case ls := <-w.handoff:
+		w.received = true
 		return ls, true
 	case <-ctx.Done():
 		return nil, false
@@ -142,17 +149,26 @@
 	return nil, true
 }
 
-func (s *serviceState) queueLen() int {
+// takeHandoff returns the server that was handed to the request while it was not waiting, or
+// nil if there is none; a nil request has none.
+func (s *serviceState) takeHandoff(w *queuedRequest) *leasedServer {
+	if w == nil || w.received {
+		return nil
+	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.queue.Len()
+	queued := w.Queued()
+	s.mu.Unlock()
+	if queued {
+		return nil
+	}
+	w.received = true
+	return <-w.handoff
 }
 
-// isQueued reports whether the request is in the queue; nil is not.
-func (s *serviceState) isQueued(w *queuedRequest) bool {
+func (s *serviceState) queueLen() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return w != nil && w.Queued()
+	return s.queue.Len()
 }
 
 // enqueue adds a request to the queue. A request that is sent after latestStart is not
@@ -176,12 +192,11 @@
 		return
 	}
 	s.mu.Lock()
+	handed := !w.Queued() && !w.received
 	s.queue.Remove(&w.Waiter, time.Now())
 	s.mu.Unlock()
-	select {
-	case ls := <-w.handoff:
-		s.handToFirst(ls)
-	default:
+	if handed {
+		s.handToFirst(<-w.handoff)
 	}
 }
 
