--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -31,13 +31,10 @@
 		handed.release()
 		// A new request doesn't overtake the queued ones.
 		if w != nil || state.queueLen() == 0 {
-			ls := d.search(ctx, s, demand, w != nil)
-			decision := d.decide(s, ls, demand)
-			if decision == placement.Send {
+			switch ls, decision := d.searchAndDecide(ctx, s, demand, w != nil); decision {
+			case placement.Send:
 				return ls, ""
-			}
-			ls.release()
-			if decision == placement.Refuse {
+			case placement.Refuse:
 				return nil, "full"
 			}
 		}
@@ -76,6 +73,18 @@
 	}
 }
 
+// searchAndDecide searches for a server and returns whether to send the request there, to
+// queue it or to refuse it. The server is nil unless the request is to be sent.
+func (d *dispatcher) searchAndDecide(ctx context.Context, s *dispatchState, demand placement.Demand, queued bool) (*leasedServer, placement.Decision) {
+	ls := d.search(ctx, s, demand, queued)
+	decision := d.decide(s, ls, demand)
+	if decision != placement.Send {
+		ls.release()
+		return nil, decision
+	}
+	return ls, decision
+}
+
 // search returns the best server found, or nil. A queued request checks only a few
 // servers until MaxQueueTime after it was received.
 func (d *dispatcher) search(ctx context.Context, s *dispatchState, demand placement.Demand, queued bool) *leasedServer {
