--- a/internal/discovery/timing.go
+++ b/internal/discovery/timing.go
@@ -45,7 +45,9 @@
 	// that lost the same source.
 	StaleSpread time.Duration
 	// LeaderRetry and FollowerRetry are the pauses after which a leader that is not the
-	// reader and any other gateway retry a failing store.
+	// reader and any other gateway retry a failing store. Every gateway retries, because
+	// gateways disagree on who is the reader while the store answers none of them, and a
+	// change must be known in time after the store recovers.
 	LeaderRetry, FollowerRetry time.Duration
 	// MaxFailureGap is the longest time between two failures of the same outage: the pause
 	// before a retry and part of the call's timeout.
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -136,7 +136,7 @@
 // the server restarts, or its address or service changes.
 func (r *registry) target(info discovery.Server, configured routing.Service, limit int, now time.Time) *target {
 	old, ok := r.targets[info.ID]
-	standing := r.standing(info, now)
+	standing := r.standing(info)
 	if ok && old.info == info {
 		old.server.SetConnectionLimit(limit)
 		return old
--- a/internal/gateway/standing_test.go
+++ b/internal/gateway/standing_test.go
@@ -41,6 +41,11 @@
 	other := list[0]
 	other.ID = "i-other"
 	assert.Assert(t, build(other) != first, "another server at the address")
+	build(list[0])
+	now = now.Add(standingMemory + time.Second)
+	build(other)
+	assert.Assert(t, build(list[0]) == first, "its record lapsed just now, after the list had not changed for long")
+	build(other)
 	now = now.Add(standingMemory + time.Second)
 	build(other)
 	assert.Equal(t, len(r.standings), 1, "standings of servers that are long gone are dropped")
--- a/internal/placement/refusals.go
+++ b/internal/placement/refusals.go
@@ -63,14 +63,19 @@
 }
 
 const (
-	// returnTime is the time in which calls come back to a server after a pause that it had
-	// asked for. It starts with firstReturnShare of them.
-	returnTime       = 3 * time.Second
+	// maxReturnTime is the longest time in which calls come back to a server after a pause
+	// that it had asked for. After a shorter pause they come back within its length. They
+	// start with firstReturnShare.
+	maxReturnTime    = 3 * time.Second
 	firstReturnShare = 0.05
 )
 
 // ReturnShare returns the share of calls that may choose a server again, a time after the
-// end of the pause that the server had asked for.
-func ReturnShare(since time.Duration) float64 {
-	return min(max(since.Seconds()/returnTime.Seconds(), firstReturnShare), 1)
+// end of a pause of the given length that the server had asked for.
+func ReturnShare(since, pause time.Duration) float64 {
+	whole := min(pause, maxReturnTime)
+	if since >= whole {
+		return 1
+	}
+	return max(since.Seconds()/whole.Seconds(), firstReturnShare)
 }
--- a/internal/upstream/standing.go
+++ b/internal/upstream/standing.go
@@ -43,9 +43,10 @@
 
 	mu          sync.Mutex
 	leaving     bool
-	pausedUntil time.Time
-	unreadable  bool // an unreadable value was reported
-	resumed     bool // the end of the last pause was reported
+	pausedUntil time.Time     // the end of the last pause
+	pause       time.Duration // its length
+	unreadable  bool          // an unreadable value was reported
+	resumed     bool          // the end of the last pause was reported
 }
 
 // NewStanding returns the standing of a server that has asked for nothing. The function is
@@ -59,11 +60,12 @@
 	return s.leaving
 }
 
-// PausedUntil returns the end of the last pause that the server asked for, or the zero time.
-func (s *Standing) PausedUntil() time.Time {
+// LastPause returns the end and the length of the last pause that the server asked for; the
+// end is the zero time if it asked for none.
+func (s *Standing) LastPause() (end time.Time, length time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.pausedUntil
+	return s.pausedUntil, s.pause
 }
 
 // Available reports whether requests may be sent to the server now.
@@ -96,16 +98,18 @@
 		if !ok {
 			n.Unreadable = value
 		}
-		n.Until = now.Add(pause)
+		if pause > 0 {
+			n.Until = now.Add(pause)
+		}
 	}
-	if s.change(&n) {
+	if s.change(&n, now) {
 		s.notify(n)
 	}
 }
 
 // change applies a notice and reports whether it says anything new. Of several pauses the
 // latest end holds.
-func (s *Standing) change(n *Notice) bool {
+func (s *Standing) change(n *Notice, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n.Leaving = n.Leaving && !s.leaving
@@ -120,7 +124,7 @@
 	}
 	// Each answer to calls that were on their way moves the end a little; that is no news.
 	news := n.Until.Sub(s.pausedUntil) > defaultPause
-	s.pausedUntil, s.resumed = n.Until, false
+	s.pausedUntil, s.pause, s.resumed = n.Until, n.Until.Sub(now), false
 	return news || n.Leaving || n.Unreadable != ""
 }
 
--- a/internal/upstream/standing_test.go
+++ b/internal/upstream/standing_test.go
@@ -52,6 +52,8 @@
 	assert.Assert(t, !s.Resumed(now))
 	assert.Assert(t, s.Resumed(now.Add(5*time.Second)))
 	assert.Assert(t, !s.Resumed(now.Add(5*time.Second)), "reported once")
+	s.observe(dialect, 503, http.Header{"Retry-After": {"0"}}, "c1", now.Add(5*time.Second))
+	assert.Assert(t, s.Available(now.Add(5*time.Second)) && !s.Resumed(now.Add(5*time.Second)), "no pause")
 	s.observe(dialect, 200, http.Header{"Retry-After": {"9"}}, "c1", now)
 	assert.Assert(t, s.Available(now.Add(5*time.Second)), "only a 503 asks for a pause")
 }
