--- a/proof/refusing_test.go
+++ b/proof/refusing_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/baobabstack/baobabstack/internal/standin"
+	"github.com/baobabstack/baobabstack/platform"
 	"github.com/baobabstack/baobabstack/platform/fake"
 )
 
@@ -106,8 +107,9 @@
 		return false
 	}
 	req.Host = "look.example"
-	req.Header.Set("Attempt-Id", id)
-	req.Header.Set("Deadline-Ms", "900")
+	names := platform.Dialect()
+	req.Header.Set(names.CallID, id)
+	req.Header.Set(names.Deadline, "900")
 	res, err := client.Do(req)
 	if err != nil {
 		return false
