--- a/internal/placement/refusals.go
+++ b/internal/placement/refusals.go
@@ -7,8 +7,8 @@
 	// One that is nearly full refuses now and then what it had room for a moment ago.
 	toleratedRefusals = 2
 	// minTrialDelay is the time until the first trial of a server that is left out. It
-	// doubles with each refused trial, up to maxTrialDelay, within which a server that has
-	// recovered gets work again.
+	// doubles with each refused trial, up to maxTrialDelay. An entry with fewer calls than
+	// trialSends in that time waits longer.
 	minTrialDelay = 250 * time.Millisecond
 	maxTrialDelay = 4 * time.Second
 	// trialSends is the number of calls that the entry sends to the service before a trial,
