gateway, httpserver: Log how far a stop was and how long a request took to arrive

Cause: a request that a stop cut was logged as one whose caller had left, and no line told whether the gateway was stopping.

Change: the line of a request has stopping= (since SIGTERM) and, for requests that took over 100 ms to arrive, arrived_in=; its reason is cut-by-stop if the stop ended its connection.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -26,6 +26,7 @@
 	metrics      *counters
 	splitCounter atomic.Uint64
 	answerBudget *memory.Budget
+	stop         stopState
 }
 
 // limits returns the limits on callers' requests from the current configuration, or no
@@ -89,7 +90,8 @@
 		call: upstream.Call{
 			ID: id, Method: r.Method, Target: r.RequestURI, Head: upstreamHeader(r, h.options.Dialect), Body: body,
 		},
-		received: received, deadline: received.Add(timeout), objectiveEnd: received.Add(route.Objective - waited), trace: &trace{},
+		received: received, deadline: received.Add(timeout), objectiveEnd: received.Add(route.Objective - waited),
+		trace:   &trace{arrival: httpserver.ArrivalTime(r.Context())},
 		answers: &answerMemory{budget: h.answerBudget},
 	}, answer{}
 }
@@ -154,9 +156,16 @@
 	now := time.Now()
 	if ctx.Err() != nil {
 		a.reason = "caller-left"
+		if h.stop.ended.Load() {
+			a.reason = "cut-by-stop"
+		}
 	}
 	h.metrics.countAnswer(a.status, now.Sub(r.received))
-	logRequest(h.log, r, a, now)
+	log := h.log
+	if stopping, ok := h.stop.since(r.received); ok {
+		log = log.With("stopping", stopping.Round(time.Millisecond))
+	}
+	logRequest(log, r, a, now)
 }
 
 // write sends an answer to the caller, without the headers that applied to the server's
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -223,7 +223,7 @@
 // ready answers 200 while the gateway accepts callers' connections, has a configuration
 // and is not stopping, else 503.
 func (s *stopper) ready(w http.ResponseWriter, _ *http.Request) {
-	if s.stopping.Load() || s.callers.server.Load() == nil || s.handler.current.get() == nil {
+	if _, stopping := s.handler.stop.since(time.Now()); stopping || s.callers.server.Load() == nil || s.handler.current.get() == nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -30,7 +30,21 @@
 	callers  *callersListener
 	members  *fleet.Members
 	log      logs.Logger
-	stopping atomic.Bool
+}
+
+// stopState tells requests how far a stop is.
+type stopState struct {
+	began atomic.Pointer[time.Time] // nil unless the gateway stops
+	ended atomic.Bool               // connections are being closed
+}
+
+// since returns how long the gateway has been stopping; it returns false unless it stops.
+func (s *stopState) since(now time.Time) (time.Duration, bool) {
+	began := s.began.Load()
+	if began == nil {
+		return 0, false
+	}
+	return now.Sub(*began), true
 }
 
 // run fails readiness, serves requests for the lame-duck period, closes idle connections
@@ -40,7 +54,7 @@
 func (s *stopper) run() {
 	begin := time.Now()
 	grace := s.settings.Grace.Duration
-	s.stopping.Store(true)
+	s.handler.stop.began.Store(&begin)
 	s.members.Leave()
 	server := s.callers.server.Load()
 	if server == nil {
@@ -59,4 +73,5 @@
 		time.Sleep(drainPollInterval)
 	}
 	s.log.With("busy", server.Busy()).With("lingering", server.Lingering()).With("after", time.Since(begin).Round(time.Millisecond)).Infof("stop: drained")
+	s.handler.stop.ended.Store(true)
 }
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -41,6 +41,7 @@
 	assert.NilError(t, err)
 	s := &stopper{
 		settings: settings.GatewayStop{Grace: settings.Duration{Duration: grace}},
+		handler:  &handler{},
 		callers:  &callersListener{}, members: fleet.NewMembers(&fleetwire.Member{Id: "g-1"}), log: logs.For("gateway"),
 	}
 	s.callers.server.Store(server)
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -14,6 +14,8 @@
 type trace struct {
 	sends  []sendTrace
 	queued bool
+	// arrival is how long the request took to arrive; 0 if that was short.
+	arrival time.Duration
 }
 
 type sendTrace struct {
@@ -99,6 +101,9 @@
 	if r.trace.queued {
 		l = l.With("queued", true)
 	}
+	if r.trace.arrival > 0 {
+		l = l.With("arrived_in", r.trace.arrival.Round(time.Millisecond))
+	}
 	if waited := r.received.Add(r.route.Objective).Sub(r.objectiveEnd); waited > 0 {
 		l = l.With("waited_before", waited.Round(time.Millisecond))
 	}
--- a/internal/httpserver/answer.go
+++ b/internal/httpserver/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"runtime/debug"
@@ -67,11 +68,38 @@
 		_ = c.nbc.Close()
 		return
 	}
-	own := r.WithContext(c.ctx) // the library uses r again
+	own := r.WithContext(c.arrivalContext()) // the library uses r again
 	own.Body = io.NopCloser(bytes.NewReader(body))
 	go c.respond(own, c.takeTurn())
 }
 
+// slowArrival is the time from which ArrivalTime tells how long a request took to arrive.
+const slowArrival = 100 * time.Millisecond
+
+type arrivalKey struct{}
+
+// ArrivalTime returns the time from a request's first byte to its last, or 0 for a request
+// that arrived within slowArrival.
+func ArrivalTime(ctx context.Context) time.Duration {
+	d, _ := ctx.Value(arrivalKey{}).(time.Duration)
+	return d
+}
+
+// arrivalContext returns the context of the oldest request that is not handled yet.
+func (c *conn) arrivalContext() context.Context {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.arrived) == 0 {
+		return c.ctx
+	}
+	took := c.arrived[0]
+	c.arrived = c.arrived[1:]
+	if took < slowArrival {
+		return c.ctx
+	}
+	return context.WithValue(c.ctx, arrivalKey{}, took)
+}
+
 // respond runs the handler and sends its answer when its turn has come.
 func (c *conn) respond(r *http.Request, t turn) {
 	defer t.end()
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -29,7 +29,8 @@
 
 	mu      sync.Mutex
 	guard   guard
-	pending []request // parsed and not answered, oldest first
+	pending []request       // parsed and not answered, oldest first
+	arrived []time.Duration // how long each request took to arrive that has no turn yet
 	timer   *time.Timer
 	tail    <-chan struct{} // closed when the last answer so far is sent
 }
--- a/internal/httpserver/guard.go
+++ b/internal/httpserver/guard.go
@@ -158,6 +158,7 @@
 	g := &c.guard
 	c.stopTimer()
 	g.close = g.close || c.server.draining.Load()
+	c.arrived = append(c.arrived, time.Since(g.began))
 	c.push(request{body: g.body, close: g.close})
 	g.part, g.body, g.ticket, g.done = inHead, 0, false, g.close
 	return nil
