httpserver: Don't close connections whose answers are on their way

What callers saw: a caller behind a slow link, or one that reads slowly, lost the answer that it was reading when its gateway stopped: connection reset by peer.

Cause: closeIdle took a connection for an idle one as soon as the kernel had taken the answer. If the caller sent its next request before it had read the answer, the closed connection was reset and the kernel discarded what the caller had not acknowledged.

Change: closeIdle leaves a connection alone until all bytes are acknowledged (TIOCOUTQ).

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -115,12 +115,12 @@
 	return c.guard.done
 }
 
-// closeIdle closes the connection unless a request has begun on it or its last answer is
-// sent: the caller closes it then, or lingerTimeout does.
+// closeIdle closes the connection unless a request has begun on it, an answer is on its way,
+// or its last answer is sent: the caller closes it then, or lingerTimeout does.
 func (c *conn) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.pending) > 0 || c.guard.started() || c.guard.done || c.wire.unsent() > 0 {
+	if len(c.pending) > 0 || c.guard.started() || c.guard.done || c.wire.unsent() > 0 || c.wire.unacknowledged() > 0 {
 		return
 	}
 	c.guard.done = true
@@ -210,6 +210,16 @@
 
 func (w *wire) unsent() int64 { return w.queued.Load() - w.written.Load() }
 
+// unacknowledged returns the number of bytes that the kernel has taken and the peer has not
+// acknowledged. It is 0 if the kernel doesn't tell.
+func (w *wire) unacknowledged() int {
+	n, err := unix.IoctlGetInt(w.Hash(), unix.TIOCOUTQ)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
 // onWritten counts the bytes that a socket took. The engine holds the
 // connection's lock meanwhile, so its file descriptor is still open.
 func onWritten(nbc *nbio.Conn, _ []byte, n int) {
--- a/internal/httpserver/drain_test.go
+++ b/internal/httpserver/drain_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -86,3 +87,47 @@
 	assert.DeepEqual(t, handler.list(), []string{"/1"})
 	assert.Equal(t, s.Busy(), 0)
 }
+
+// Guards against an answer that a stop takes away from a caller that reads slowly: the kernel
+// had the answer, the connection counted as idle and was closed, and the request that the
+// caller sent next reset it.
+func TestCloseIdleLeavesAnswersThatAreOnTheirWay(t *testing.T) {
+	const size = 128 << 10
+	called := make(chan struct{})
+	s := startTest(t, Options{MaxBodyBytes: 2 * size, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(called)
+		_, _ = w.Write(make([]byte, size))
+	})})
+	c := dialTest(t, s)
+	assert.NilError(t, c.(*net.TCPConn).SetReadBuffer(4<<10))
+	const get = "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+	_, err := io.WriteString(c, get)
+	assert.NilError(t, err)
+	<-called
+	reader := bufio.NewReaderSize(&slowReader{c, 32 << 10, 5 * time.Millisecond}, 32<<10)
+	res, err := http.ReadResponse(reader, nil)
+	assert.NilError(t, err)
+	stop := make(chan struct{})
+	go func() {
+		defer close(stop)
+		waitFor(t, func() bool { return s.Busy() == 0 })
+		s.CloseIdle()
+		time.Sleep(20 * time.Millisecond)
+		_, _ = io.WriteString(c, get) // fails if the connection is closed
+	}()
+	n, err := io.Copy(io.Discard, res.Body)
+	assert.NilError(t, err, "after %d bytes", n)
+	<-stop
+}
+
+// slowReader reads a number of bytes at most at a time, with a pause before each.
+type slowReader struct {
+	io.Reader
+	bytes int
+	pause time.Duration
+}
+
+func (r *slowReader) Read(b []byte) (int, error) {
+	time.Sleep(r.pause)
+	return r.Reader.Read(b[:min(len(b), r.bytes)])
+}
