httpserver: Linger while the caller goes on sending

What callers saw: a caller that pipelines behind a slow link lost its last answer: connection reset.

Cause: a connection was closed 2 s after its last answer was written to the kernel. A caller that had not seen the answer yet went on sending, and bytes that reach a closed socket reset it.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -33,6 +33,7 @@
 	arrived []time.Duration // how long each request took to arrive that has no turn yet
 	timer   *time.Timer
 	tail    <-chan struct{} // closed when the last answer so far is sent
+	heardAt time.Time       // when the caller last sent something on a connection that takes no more requests
 }
 
 // request is what the guard knows of a request until it is answered.
@@ -116,7 +117,7 @@
 }
 
 // closeIdle closes the connection unless a request has begun on it, an answer is on its way,
-// or its last answer is sent: the caller closes it then, or lingerTimeout does.
+// or its last answer is sent: the caller closes it then, or linger does.
 func (c *conn) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -164,10 +165,33 @@
 		return
 	}
 	if last {
-		_ = c.nbc.SetReadDeadline(time.Now().Add(lingerTimeout))
+		c.linger(time.Now())
 	}
 }
 
+// linger closes a connection after its last answer, if the caller doesn't. A caller that goes
+// on sending has not seen the answer yet, and closing with unread bytes would reset the
+// connection and could take the answer away. So linger waits until the caller has neither
+// acknowledged nor sent anything for lingerTimeout, but no longer than the caller has to
+// read an answer. All calls for a connection have the same begin.
+func (c *conn) linger(begin time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	if begin.After(c.heardAt) || c.wire.unacknowledged() > 0 {
+		c.heardAt = now
+	}
+	if now.Sub(c.heardAt) >= lingerTimeout || now.Sub(begin) >= c.server.options.WriteTimeout {
+		_ = c.nbc.Close()
+		return
+	}
+	time.AfterFunc(lingerInterval, func() {
+		if c.ctx.Err() == nil {
+			c.linger(begin)
+		}
+	})
+}
+
 // waitSent waits until no byte is unsent. It reports false if that takes too
 // long or the connection ends.
 func (c *conn) waitSent() bool {
--- a/internal/httpserver/drain_test.go
+++ b/internal/httpserver/drain_test.go
@@ -131,3 +131,21 @@
 	time.Sleep(r.pause)
 	return r.Reader.Read(b[:min(len(b), r.bytes)])
 }
+
+// Guards against an answer that is lost because its connection was closed while the caller,
+// who had not seen it yet, went on sending.
+func TestLingerLastsWhileTheCallerGoesOnSending(t *testing.T) {
+	s := startTest(t, Options{Handler: &echo{}})
+	s.Drain()
+	c := dialTest(t, s)
+	const get = "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+	for begin := time.Now(); time.Since(begin) < lingerTimeout+lingerTimeout/2; time.Sleep(20 * time.Millisecond) {
+		_, err := io.WriteString(c, get)
+		assert.NilError(t, err, "after %s", time.Since(begin))
+	}
+	res, _ := readAnswer(t, bufio.NewReader(c), http.MethodGet)
+	assert.Equal(t, res.StatusCode, http.StatusOK)
+	begin := time.Now()
+	waitFor(t, func() bool { return s.Open() == 0 })
+	assert.Assert(t, time.Since(begin) < 2*lingerTimeout, "a silent connection is closed")
+}
--- a/internal/httpserver/guard.go
+++ b/internal/httpserver/guard.go
@@ -51,6 +51,9 @@
 		}
 		data = data[n:]
 	}
+	if c.guard.done {
+		c.heardAt = time.Now()
+	}
 	c.watchSender()
 	return nil
 }
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -55,12 +55,12 @@
 	defaultIdleTimeout    = 2 * time.Minute
 	// answerTimeout bounds the time that a handler takes.
 	answerTimeout = time.Hour
-	// lingerTimeout is how long a connection that is closing discards what its
-	// caller still sends. Closing with unread bytes would reset the connection
-	// and could take the answer away from the caller.
-	lingerTimeout = 2 * time.Second
-	acceptPause   = 50 * time.Millisecond
-	stopTimeout   = 2 * time.Second
+	// lingerTimeout is how long a connection whose last answer is sent may be silent before
+	// it is closed; lingerInterval is the time between two checks.
+	lingerTimeout  = 2 * time.Second
+	lingerInterval = lingerTimeout / 8
+	acceptPause    = 50 * time.Millisecond
+	stopTimeout    = 2 * time.Second
 
 	maxHeadBytes   = 32 << 10
 	maxHeaders     = 100
@@ -140,12 +140,14 @@
 	})
 }
 
+// Open returns the number of open connections.
+func (s *Server) Open() int { return int(s.open.Load()) }
+
 // Busy returns the number of requests that are not answered in full.
 func (s *Server) Busy() int { return int(s.busy.Load()) }
 
 // Lingering returns the number of connections that take no more requests and that their
-// callers have not closed yet. Each is closed lingerTimeout after its last answer at the
-// latest.
+// callers have not closed yet.
 func (s *Server) Lingering() int {
 	n := 0
 	s.conns.Range(func(key, _ any) bool {
