gateway: Pass on late in a stop only what can be answered before its end

Cause: a connection on which a request has begun stays open after the lame-duck period. When the request was whole it was passed on whatever time was left, and 0.6 s before the end of the grace period all connections were closed. Class of fault: work is accepted without a check that it can end before the deadline of who accepts it.

Change: the phases of a stop are shares of the grace period. After the lame-duck period a request is accepted if its deadline ends before 7/8 of the grace period, else refused at once (503, not run). At 7/8 requests that are not whole are refused, and those in flight, which were all accepted in the lame-duck period or before, get an answer in place of the end of their connection. The stop waits until callers have closed their connections, so that answers to slow readers arrive.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/baobabstack/baobabstack/internal/httpserver"
 	"github.com/baobabstack/baobabstack/internal/logs"
 	"github.com/baobabstack/baobabstack/internal/memory"
@@ -63,7 +65,11 @@
 	req, a := h.newRequest(r, s, route, id, received)
 	if req != nil {
 		defer req.answers.release()
-		a = h.dispatcher.dispatch(r.Context(), req)
+		if h.stop.endsBefore(req, h.dispatcher.demand(req)) {
+			a = answer{status: http.StatusServiceUnavailable, reason: "stopping"}
+		} else {
+			a = h.dispatcher.dispatch(r.Context(), req)
+		}
 		h.recordAnswer(r.Context(), req, &a)
 	}
 	h.write(w, id, a)
@@ -156,7 +162,7 @@
 	now := time.Now()
 	if ctx.Err() != nil {
 		a.reason = "caller-left"
-		if h.stop.ended.Load() {
+		if errors.Is(context.Cause(ctx), errStopping) {
 			a.reason = "cut-by-stop"
 		}
 	}
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -4,74 +4,122 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/baobabstack/baobabstack/internal/fleet"
 	"github.com/baobabstack/baobabstack/internal/logs"
+	"github.com/baobabstack/baobabstack/internal/placement"
 	"github.com/baobabstack/baobabstack/internal/settings"
 )
 
 const (
-	// drainPollInterval is the interval at which the requests in flight are counted while
-	// the gateway drains.
+	// drainPollInterval is the interval at which open connections are counted while the
+	// gateway drains.
 	drainPollInterval = 20 * time.Millisecond
-	// lameDuckPeriod is how long new requests are accepted after readiness fails: the
+	// lameDuckPeriod is how long all new requests are accepted after readiness fails: the
 	// platform's load balancer removes a gateway after two failed checks, a second
 	// apart.
 	lameDuckPeriod = 2500 * time.Millisecond
 	// lameDuckShare bounds the lame-duck period as a share of the grace period.
 	lameDuckShare = 0.4
-	// exitMargin is the part of the grace period that is kept for the process to exit.
-	exitMargin = 600 * time.Millisecond
+	// drainShare is the share of the grace period in which servers may work on requests. It
+	// leaves time to write the last answers.
+	drainShare = 0.875
+	// exitShare is the share of the grace period after which the process exits at the latest.
+	exitShare = 0.95
 )
 
-// stopper shuts a gateway down without interrupting requests.
-type stopper struct {
-	settings settings.GatewayStop
-	handler  *handler
-	callers  *callersListener
-	members  *fleet.Members
-	log      logs.Logger
+var errStopping = errors.New("the gateway stops")
+
+// stopPlan holds the phases of a stop. All end at fixed shares of the grace period.
+type stopPlan struct {
+	// began is when the gateway was told to stop.
+	began time.Time
+	// lameDuckEnd is when the listener closes. A request that is whole later is accepted only
+	// if its deadline is not after drainEnd.
+	lameDuckEnd time.Time
+	// drainEnd is when requests in flight are given up.
+	drainEnd time.Time
+	// exit is when connections are closed even if answers are on their way.
+	exit time.Time
 }
 
-// stopState tells requests how far a stop is.
-type stopState struct {
-	began atomic.Pointer[time.Time] // nil unless the gateway stops
-	ended atomic.Bool               // connections are being closed
+func newStopPlan(began time.Time, grace time.Duration) *stopPlan {
+	after := func(share float64) time.Time { return began.Add(time.Duration(share * float64(grace))) }
+	p := &stopPlan{began: began, lameDuckEnd: began.Add(lameDuckPeriod), drainEnd: after(drainShare), exit: after(exitShare)}
+	if end := after(lameDuckShare); end.Before(p.lameDuckEnd) {
+		p.lameDuckEnd = end
+	}
+	return p
 }
 
+// stopState tells requests whether and until when the gateway stops.
+type stopState struct{ plan atomic.Pointer[stopPlan] }
+
 // since returns how long the gateway has been stopping; it returns false unless it stops.
 func (s *stopState) since(now time.Time) (time.Duration, bool) {
-	began := s.began.Load()
-	if began == nil {
+	plan := s.plan.Load()
+	if plan == nil {
 		return 0, false
 	}
-	return now.Sub(*began), true
+	return now.Sub(plan.began), true
+}
+
+// endsBefore reports whether the stop may end before a request is answered: after the
+// lame-duck period before its deadline, and until then before the usual service time.
+func (s *stopState) endsBefore(r *request, d placement.Demand) bool {
+	plan := s.plan.Load()
+	if plan == nil {
+		return false
+	}
+	if r.received.After(plan.lameDuckEnd) {
+		return r.deadline.After(plan.drainEnd)
+	}
+	return r.received.Add(min(d.ServiceTime, d.TimeLeft)).After(plan.drainEnd)
+}
+
+// stopper shuts a gateway down without interrupting requests.
+type stopper struct {
+	settings settings.GatewayStop
+	handler  *handler
+	callers  *callersListener
+	members  *fleet.Members
+	log      logs.Logger
 }
 
 // run fails readiness, serves requests for the lame-duck period, closes idle connections
-// and returns when callers have closed the others, or exitMargin before the grace period
-// ends. If the process exited with an answer still in a socket's buffer, a request sent
-// behind it would make the kernel reset the connection and discard the answer.
+// and returns when callers have closed the others. Requests that are neither whole nor
+// answered at drainEnd are answered then. If the process exited with an answer still in a
+// socket's buffer, a request sent behind it would make the kernel reset the connection and
+// discard the answer.
 func (s *stopper) run() {
-	begin := time.Now()
-	grace := s.settings.Grace.Duration
-	s.handler.stop.began.Store(&begin)
+	plan := newStopPlan(time.Now(), s.settings.Grace.Duration)
+	s.handler.stop.plan.Store(plan)
 	s.members.Leave()
 	server := s.callers.server.Load()
 	if server == nil {
 		return
 	}
 	server.Drain()
-	lameDuck := min(lameDuckPeriod, time.Duration(lameDuckShare*float64(grace)))
-	s.log.With("busy", server.Busy()).With("for", lameDuck).Infof("stop: not ready; still serving requests")
-	time.Sleep(lameDuck)
-	for time.Since(begin) < grace-exitMargin {
+	s.log.With("busy", server.Busy()).With("for", time.Until(plan.lameDuckEnd).Round(time.Millisecond)).Infof("stop: not ready; still serving requests")
+	time.Sleep(time.Until(plan.lameDuckEnd))
+	s.log.With("busy", server.Busy()).With("open", server.Open()).Infof("stop: no longer listening; serving requests that can end in time")
+	ended := false
+	for time.Now().Before(plan.exit) {
 		// A connection may have become idle since the last iteration.
 		server.CloseIdle()
-		if server.Busy() == 0 && server.Lingering() == 0 {
+		if server.Open() == 0 {
 			break
 		}
+		if !time.Now().Before(plan.drainEnd) {
+			if !ended {
+				s.log.With("busy", server.Busy()).With("open", server.Open()).Warnf("stop: giving up the requests that are left")
+			}
+			ended = true
+			server.RefuseIncomplete()
+			server.Interrupt(errStopping)
+		}
 		time.Sleep(drainPollInterval)
 	}
-	s.log.With("busy", server.Busy()).With("lingering", server.Lingering()).With("after", time.Since(begin).Round(time.Millisecond)).Infof("stop: drained")
-	s.handler.stop.ended.Store(true)
+	s.log.With("busy", server.Busy()).With("lingering", server.Lingering()).With("open", server.Open()).With("after", time.Since(plan.began).Round(time.Millisecond)).Infof("stop: drained")
 }
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -17,6 +17,7 @@
 	"github.com/baobabstack/baobabstack/internal/fleetwire"
 	"github.com/baobabstack/baobabstack/internal/httpserver"
 	"github.com/baobabstack/baobabstack/internal/logs"
+	"github.com/baobabstack/baobabstack/internal/placement"
 	"github.com/baobabstack/baobabstack/internal/settings"
 )
 
@@ -68,7 +69,7 @@
 	assert.Equal(t, len(body), size)
 	assert.NilError(t, c.Close())
 	<-stopped
-	assert.Assert(t, time.Since(begin) < grace-exitMargin, "the stop ends once the caller has closed")
+	assert.Assert(t, time.Since(begin) < time.Duration(drainShare*float64(grace)), "the stop ends once the caller has closed")
 }
 
 // dialSmallWindow returns a connection whose peer can send only little ahead of its reader.
@@ -82,3 +83,42 @@
 	t.Cleanup(func() { c.Close() })
 	return c
 }
+
+func TestStopPlanFollowsTheGracePeriod(t *testing.T) {
+	began := time.Unix(1000, 0)
+	for _, test := range []struct{ grace, lameDuckEnd, drainEnd, exit time.Duration }{
+		{time.Second, 400 * time.Millisecond, 875 * time.Millisecond, 950 * time.Millisecond},
+		{6 * time.Second, 2400 * time.Millisecond, 5250 * time.Millisecond, 5700 * time.Millisecond},
+		{20 * time.Second, 2500 * time.Millisecond, 17500 * time.Millisecond, 19 * time.Second},
+	} {
+		p := newStopPlan(began, test.grace)
+		assert.Equal(t, p.lameDuckEnd.Sub(began), test.lameDuckEnd, "%s", test.grace)
+		assert.Equal(t, p.drainEnd.Sub(began), test.drainEnd, "%s", test.grace)
+		assert.Equal(t, p.exit.Sub(began), test.exit, "%s", test.grace)
+	}
+}
+
+func TestStopAcceptsOnlyRequestsThatItCanAnswer(t *testing.T) {
+	began := time.Unix(1000, 0) // with a grace period of 6 s
+	for _, test := range []struct {
+		name                          string
+		received, timeout, expectWork time.Duration
+		stopping, refused             bool
+	}{
+		{"no stop", 5 * time.Second, 3 * time.Second, time.Second, false, false},
+		{"lame-duck period, may outlast the stop", 2 * time.Second, 10 * time.Second, time.Second, true, false},
+		{"lame-duck period, will outlast the stop", 2 * time.Second, 10 * time.Second, 4 * time.Second, true, true},
+		{"lame-duck period, its deadline comes before", 2 * time.Second, time.Second, 4 * time.Second, true, false},
+		{"late, its deadline comes before the end", 3 * time.Second, 2 * time.Second, time.Second, true, false},
+		{"late, its deadline comes after the end", 3 * time.Second, 3 * time.Second, 100 * time.Millisecond, true, true},
+	} {
+		var s stopState
+		if test.stopping {
+			s.plan.Store(newStopPlan(began, 6*time.Second))
+		}
+		received := began.Add(test.received)
+		r := &request{received: received, deadline: received.Add(test.timeout)}
+		d := placement.Demand{ServiceTime: test.expectWork, TimeLeft: test.timeout}
+		assert.Equal(t, s.endsBefore(r, d), test.refused, test.name)
+	}
+}
--- a/internal/httpserver/answer.go
+++ b/internal/httpserver/answer.go
@@ -90,14 +90,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.arrived) == 0 {
-		return c.ctx
+		return c.calls
 	}
 	took := c.arrived[0]
 	c.arrived = c.arrived[1:]
 	if took < slowArrival {
-		return c.ctx
+		return c.calls
 	}
-	return context.WithValue(c.ctx, arrivalKey{}, took)
+	return context.WithValue(c.calls, arrivalKey{}, took)
 }
 
 // respond runs the handler and sends its answer when its turn has come.
@@ -159,7 +159,7 @@
 
 func refusalBytes(r *refusal, o outcome.Outcome) []byte {
 	var retryAfter time.Duration
-	if r.status == http.StatusServiceUnavailable {
+	if r.status == http.StatusServiceUnavailable && r != refuseStopping {
 		retryAfter = time.Second
 	}
 	return refused(call.Refusal(o, r.status, r.reason, retryAfter)).bytes(http.MethodGet, true)
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -20,12 +20,14 @@
 type conn struct {
 	net.Conn // TLS or the wire itself
 
-	server *Server
-	wire   *wire
-	nbc    *nbio.Conn
-	tls    *tls.Conn
-	ctx    context.Context
-	cancel context.CancelFunc
+	server    *Server
+	wire      *wire
+	nbc       *nbio.Conn
+	tls       *tls.Conn
+	ctx       context.Context // ends with the connection
+	cancel    context.CancelFunc
+	calls     context.Context // of the requests; ends with ctx or by Server.Interrupt
+	interrupt context.CancelCauseFunc
 
 	mu      sync.Mutex
 	guard   guard
@@ -50,6 +52,7 @@
 		c.Conn = c.tls
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.calls, c.interrupt = context.WithCancelCause(c.ctx)
 	first := make(chan struct{})
 	close(first)
 	c.tail = first
@@ -128,6 +131,17 @@
 	_ = c.nbc.Close()
 }
 
+// refuseIncomplete answers a request that has begun and is not whole.
+func (c *conn) refuseIncomplete() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.guard.started() || c.guard.done {
+		return
+	}
+	c.guard.ticket = c.guard.ticket || c.guard.part == inHead
+	c.refuse(refuseStopping)
+}
+
 // endsWith reports whether the connection ends with the answer to its oldest request. If
 // so, no further request is read: one that was passed on would run without an answer.
 func (c *conn) endsWith(r request) bool {
--- a/internal/httpserver/drain_test.go
+++ b/internal/httpserver/drain_test.go
@@ -88,6 +88,37 @@
 	assert.Equal(t, s.Busy(), 0)
 }
 
+// Guards against a request that is cut at the end of a stop although its caller is still
+// sending it: it must get an answer that says that it has not run.
+func TestRefuseIncompleteAnswersRequestsThatAreNotWhole(t *testing.T) {
+	for name, text := range map[string]string{
+		"head":   "POST /2 HTTP/1.1\r\nHost: a\r\n",
+		"length": "POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nab",
+		"chunks": "POST /2 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			handler := &calledPaths{delay: 100 * time.Millisecond}
+			s := startTest(t, Options{Handler: handler})
+			c := dialTest(t, s)
+			_, err := io.WriteString(c, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n"+text)
+			assert.NilError(t, err)
+			waitFor(t, func() bool { return s.Busy() == 1 })
+			s.Drain()
+			s.CloseIdle()
+			s.RefuseIncomplete()
+			reader := bufio.NewReader(c)
+			res, _ := readAnswer(t, reader, http.MethodGet)
+			assert.Equal(t, res.StatusCode, http.StatusOK)
+			res, _ = readAnswer(t, reader, http.MethodPost)
+			assert.Equal(t, res.StatusCode, http.StatusServiceUnavailable)
+			assert.Assert(t, res.Close)
+			assert.DeepEqual(t, handler.list(), []string{"/1"})
+			assert.NilError(t, c.Close())
+			waitFor(t, func() bool { return s.Open() == 0 })
+		})
+	}
+}
+
 // Guards against an answer that a stop takes away from a caller that reads slowly: the kernel
 // had the answer, the connection counted as idle and was closed, and the request that the
 // caller sent next reset it.
--- a/internal/httpserver/head.go
+++ b/internal/httpserver/head.go
@@ -51,6 +51,7 @@
 	refuseMalformed = &refusal{http.StatusBadRequest, "malformed"}
 	refuseSlow      = &refusal{http.StatusRequestTimeout, "request-too-slow"}
 	refusePipeline  = &refusal{http.StatusServiceUnavailable, "pipeline-full"}
+	refuseStopping  = &refusal{http.StatusServiceUnavailable, "stopping"} // another listener can take it at once
 	refuseMemory    = &refusal{http.StatusServiceUnavailable, "memory"}
 )
 
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -140,6 +140,22 @@
 	})
 }
 
+// RefuseIncomplete answers each request that has begun and is not whole: it is not run.
+func (s *Server) RefuseIncomplete() {
+	s.conns.Range(func(key, _ any) bool {
+		key.(*conn).refuseIncomplete()
+		return true
+	})
+}
+
+// Interrupt ends the contexts of all requests with a cause. Their handlers still answer them.
+func (s *Server) Interrupt(cause error) {
+	s.conns.Range(func(key, _ any) bool {
+		key.(*conn).interrupt(cause)
+		return true
+	})
+}
+
 // Open returns the number of open connections.
 func (s *Server) Open() int { return int(s.open.Load()) }
 
