supervisor: Give calls up with an answer before the drain bound of an entry ends

Entries refuse new calls after the lame-duck time, so that none is accepted late.

Change: at 7/8 of stop.drain calls in flight are given up (outcome unknown) and requests that are not whole are refused (not run); the rest of the time is for their answers.

Result: TestStopGivesUpCallsBeforeTheDrainBound does not build before, as there was no way to give calls up. It shows the order of the steps; no test with processes was added.

--- a/internal/supervisor/callers/service.go
+++ b/internal/supervisor/callers/service.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync/atomic"
 
+	"github.com/pkg/errors"
+
 	"github.com/baobabstack/baobabstack/internal/httpserver"
 	"github.com/baobabstack/baobabstack/internal/logs"
 	"github.com/baobabstack/baobabstack/internal/settings"
@@ -61,6 +63,17 @@
 	}
 }
 
+// GiveUp refuses the requests that are not whole and ends the calls in flight, whose outcome
+// is unknown then.
+func (s *Service) GiveUp() {
+	if server := s.server.Load(); server != nil {
+		server.RefuseIncomplete()
+		server.Interrupt(errStopping)
+	}
+}
+
+var errStopping = errors.New("the entry stops")
+
 // Listening reports whether connections are accepted.
 func (s *Service) Listening() bool { return s.server.Load() != nil }
 
--- a/internal/supervisor/stop.go
+++ b/internal/supervisor/stop.go
@@ -25,6 +25,7 @@
 	// callers is the listener towards callers.
 	callers interface {
 		Drain()
+		GiveUp()
 		Busy() int
 	}
 	// owned counts the calls that run for other entries.
@@ -32,21 +33,31 @@
 	log   logs.Logger
 }
 
+// drainShare is the share of the drain bound in which calls may run. It leaves time to
+// write the last answers.
+const drainShare = 0.875
+
 // stop fails readiness, takes calls for the lame-duck time, then refuses new
 // ones and returns when all calls are answered in full. The drain bound limits
-// the last step.
+// the last step; calls that still run shortly before its end are given up.
 func (s *stopper) stop() {
 	begin := time.Now()
 	s.unready()
 	s.callers.Drain()
 	s.note("stop-begun", fmt.Sprintf("not ready; calls are taken for %s more", s.settings.LameDuck))
 	time.Sleep(s.settings.LameDuck.Duration)
-	deadline := time.Now().Add(s.settings.Drain.Duration)
+	drainBegin := time.Now()
+	deadline := drainBegin.Add(s.settings.Drain.Duration)
 	s.refuseNew(deadline)
 	if defect.On("cut-on-stop") {
 		return
 	}
-	if poll(deadline, func() bool { return s.callers.Busy() == 0 && s.owned.Busy() == 0 }) {
+	idle := func() bool { return s.callers.Busy() == 0 && s.owned.Busy() == 0 }
+	if !poll(drainBegin.Add(time.Duration(drainShare*float64(s.settings.Drain.Duration))), idle) {
+		s.note("stop-gives-up", fmt.Sprintf("%d calls of callers and %d of entries still run after %s", s.callers.Busy(), s.owned.Busy(), time.Since(begin).Round(time.Millisecond)))
+		s.callers.GiveUp()
+	}
+	if poll(deadline, idle) {
 		s.note("stop-drained", fmt.Sprintf("all calls are answered after %s", time.Since(begin).Round(time.Millisecond)))
 		return
 	}
--- a/internal/supervisor/stop_test.go
+++ b/internal/supervisor/stop_test.go
@@ -30,10 +30,17 @@
 type parts struct {
 	busy    atomic.Int64
 	drained atomic.Bool
+	// answersWhenGivenUp makes GiveUp end what is in flight.
+	answersWhenGivenUp bool
 }
 
 func (p *parts) Busy() int { return int(p.busy.Load()) }
 func (p *parts) Drain()    { p.drained.Store(true) }
+func (p *parts) GiveUp() {
+	if p.answersWhenGivenUp {
+		p.busy.Store(0)
+	}
+}
 
 func newStopper(callers, owned *parts, drain time.Duration) (*stopper, *fullQueue) {
 	holder := &view.Holder{}
@@ -80,3 +87,14 @@
 	s.stop()
 	assert.Equal(t, callers.Busy(), 1)
 }
+
+// Guards against calls that are cut without an answer because they outlast the drain bound.
+func TestStopGivesUpCallsBeforeTheDrainBound(t *testing.T) {
+	callers := &parts{answersWhenGivenUp: true}
+	callers.busy.Store(1)
+	s, _ := newStopper(callers, &parts{}, 400*time.Millisecond)
+	begin := time.Now()
+	s.stop()
+	assert.Equal(t, callers.Busy(), 0)
+	assert.Assert(t, time.Since(begin) >= 350*time.Millisecond, "calls may run as long as the bound allows")
+}
