httpserver: Don't let an event of a closed connection close the next one

What callers saw: a request ran and its connection ended without an answer, at any time and more often while other callers left in the middle of an answer.

Cause: the poller of nbio fetches events in batches and finds the connection of each by its descriptor. A connection that another goroutine closes (a failed write, a timeout, the end of a stop) frees its descriptor; accept takes it for the next connection; an event of the old one that is still in the batch closes the new one.

Change: a new connection whose descriptor was used before is handed to the poller once the poller has handled all events that it had fetched, which a byte on a socket pair shows. The engine has one poller for that.

Result: TestEventOfAClosedConnectionDoesNotReachTheNext puts the events into one batch; it failed three times of three without the wait (unexpected EOF) and passes with it.

--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -81,6 +81,7 @@
 	open     atomic.Int64
 	busy     atomic.Int64
 	accepted sync.WaitGroup
+	barrier  *pollerBarrier
 	conns    sync.Map // of *conn, the open connections
 }
 
@@ -93,6 +94,7 @@
 		MaxHTTPBodySize: o.MaxBodyBytes, ReadLimit: o.MaxBodyBytes + maxHeadBytes,
 		MaxWriteBufferSize: o.MaxBodyBytes + frameBytes,
 		ServerExecutor:     func(f func()) { go f() },
+		NPoller:            1, // see pollerBarrier
 	})
 	s.engine.OnWrittenSize(onWritten)
 	s.engine.Engine.OnClose(s.onClose)
@@ -106,6 +108,14 @@
 		return nil, errors.Wrapf(err, "%s: start the engine", o.Name)
 	}
 	s.listener = listener
+	s.barrier, err = newPollerBarrier(func(nbc *nbio.Conn) error {
+		_, err := s.engine.Engine.AddConn(nbc)
+		return err
+	})
+	if err != nil {
+		s.Stop()
+		return nil, errors.Wrap(err, o.Name)
+	}
 	s.accepted.Add(1)
 	go s.accept()
 	return s, nil
@@ -180,6 +190,9 @@
 func (s *Server) Stop() {
 	s.listener.Close()
 	s.accepted.Wait()
+	if s.barrier != nil {
+		s.barrier.close()
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	if err := s.engine.Engine.Shutdown(ctx); err != nil {
@@ -214,6 +227,9 @@
 		_ = raw.Close()
 		return
 	}
+	if err := s.barrier.wait(nbc.Hash()); err != nil {
+		log.Warnf("%s: a connection from %s may be closed by an event of an earlier one: %v", s.options.Name, nbc.RemoteAddr(), err)
+	}
 	c := newConn(s, nbc)
 	nbc.SetSession(c)
 	nbc.OnData(s.onData)
