httpserver: Don't end connections at the idle timeout with work or answers on their way

What callers saw: the first request on a connection ran and was cut if it took longer than the idle timeout; and a caller that reads slowly lost its answer (connection reset) if it sent its next request after the idle timeout.

Cause: the idle timeout was a read deadline set apart from the connection's state. The accepting goroutine set it after the poller might have read the first request and lifted it. Else it began when the kernel had the answer, whether it had arrived or not.

Change: a timer of the connection that looks at its state, under its lock, when it ends.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -34,6 +34,7 @@
 	pending []request       // parsed and not answered, oldest first
 	arrived []time.Duration // how long each request took to arrive that has no turn yet
 	timer   *time.Timer
+	idle    *time.Timer     // runs while no request has begun and none is unanswered
 	tail    <-chan struct{} // closed when the last answer so far is sent
 	heardAt time.Time       // when the caller last sent something on a connection that takes no more requests
 }
@@ -69,6 +70,9 @@
 	defer c.mu.Unlock()
 	c.guard.done = true
 	c.stopTimer()
+	if c.idle != nil {
+		c.idle.Stop()
+	}
 	c.guard.parser.CloseAndClean(err)
 	c.server.budget.Release(c.guard.body)
 	c.guard.body = 0
@@ -107,8 +111,40 @@
 	c.server.budget.Release(c.pending[0].body)
 	c.server.busy.Add(-1)
 	c.pending = c.pending[1:]
-	if len(c.pending) == 0 && !c.guard.started() && !c.guard.done {
-		_ = c.nbc.SetReadDeadline(time.Now().Add(c.server.limits().IdleTimeout))
+	c.watchIdle()
+}
+
+// isIdle reports whether no request has begun and none is unanswered, on a connection that
+// takes requests.
+func (c *conn) isIdle() bool {
+	return len(c.pending) == 0 && !c.guard.started() && !c.guard.done
+}
+
+// watchIdle bounds the time until the next request on an idle connection. The connection's
+// lock must be held.
+func (c *conn) watchIdle() {
+	if !c.isIdle() {
+		return
+	}
+	if c.idle == nil {
+		c.idle = time.AfterFunc(c.server.limits().IdleTimeout, c.endIdle)
+		return
+	}
+	c.idle.Reset(c.server.limits().IdleTimeout)
+}
+
+// endIdle closes the connection at the end of its idle time, unless a request or an answer
+// is on its way.
+func (c *conn) endIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case !c.isIdle() || c.ctx.Err() != nil:
+	case c.wire.inTransit():
+		c.idle.Reset(lingerInterval)
+	default:
+		c.guard.done = true
+		_ = c.nbc.Close()
 	}
 }
 
@@ -124,7 +160,7 @@
 func (c *conn) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.pending) > 0 || c.guard.started() || c.guard.done || c.wire.unsent() > 0 || c.wire.unacknowledged() > 0 {
+	if !c.isIdle() || c.wire.inTransit() {
 		return
 	}
 	c.guard.done = true
@@ -248,10 +284,20 @@
 
 func (w *wire) unsent() int64 { return w.queued.Load() - w.written.Load() }
 
+// inTransit reports whether bytes are on their way: those of an answer that the peer has not
+// acknowledged.
+func (w *wire) inTransit() bool {
+	return w.unsent() > 0 || w.unacknowledged() > 0
+}
+
 // unacknowledged returns the number of bytes that the kernel has taken and the peer has not
-// acknowledged. It is 0 if the kernel doesn't tell.
-func (w *wire) unacknowledged() int {
-	n, err := unix.IoctlGetInt(w.Hash(), unix.TIOCOUTQ)
+// acknowledged.
+func (w *wire) unacknowledged() int { return w.queuedBytes(unix.TIOCOUTQ) }
+
+// queuedBytes returns the number of bytes in one of the socket's queues, 0 if the kernel
+// doesn't tell.
+func (w *wire) queuedBytes(queue uint) int {
+	n, err := unix.IoctlGetInt(w.Hash(), queue)
 	if err != nil {
 		return 0
 	}
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -240,7 +240,9 @@
 		s.closed(c)
 		return
 	}
-	_ = nbc.SetReadDeadline(time.Now().Add(s.limits().IdleTimeout))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.watchIdle()
 }
 
 // onData passes on the bytes read from a connection. The engine hands a
