httpserver: Serve requests that have arrived when idle connections are closed

What callers saw: at a stop, requests that had reached the gateway's VM before it closed idle connections were reset. They had not run, but on a busy VM they can have waited for long.

Cause: a connection counted as idle until the process had read the first byte of a request.

Change: a connection is not idle while the kernel has bytes that are not read. They are answered, and the answer ends the connection.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -285,9 +285,9 @@
 func (w *wire) unsent() int64 { return w.queued.Load() - w.written.Load() }
 
 // inTransit reports whether bytes are on their way: those of an answer that the peer has not
-// acknowledged.
+// acknowledged, or those of a request that has arrived and is not read.
 func (w *wire) inTransit() bool {
-	return w.unsent() > 0 || w.unacknowledged() > 0
+	return w.unsent() > 0 || w.unacknowledged() > 0 || w.queuedBytes(unix.TIOCINQ) > 0
 }
 
 // unacknowledged returns the number of bytes that the kernel has taken and the peer has not
--- a/internal/httpserver/idle_test.go
+++ b/internal/httpserver/idle_test.go
@@ -67,3 +67,32 @@
 		assert.NilError(t, err, "after %d bytes", n)
 	}
 }
+
+// Guards against requests that a stop drops although they had arrived before it closed idle
+// connections.
+func TestCloseIdleServesRequestsThatHaveArrived(t *testing.T) {
+	s := startTest(t, Options{Handler: &echo{}})
+	const callers = 20
+	var conns []net.Conn
+	for range callers {
+		conns = append(conns, dialTest(t, s))
+	}
+	waitFor(t, func() bool { return s.Open() == callers })
+	// The poller is kept from reading.
+	blocked := serverSide(t, s, conns[0])
+	blocked.mu.Lock()
+	for _, c := range conns {
+		_, err := io.WriteString(c, getRequest)
+		assert.NilError(t, err)
+	}
+	time.Sleep(20 * time.Millisecond)
+	s.Drain()
+	for _, c := range conns[1:] {
+		serverSide(t, s, c).closeIdle()
+	}
+	blocked.mu.Unlock()
+	for _, c := range conns {
+		res, _ := readAnswer(t, bufio.NewReader(c), http.MethodGet)
+		assert.Equal(t, res.StatusCode, http.StatusOK)
+	}
+}
