httpserver: Count a connection that can't be registered once

Cause: if the engine can't register a connection with epoll, it reports the close and returns an error, and each of the two lowered the count of open connections. A stop, which waits until none is open, would last to its bound.

Change: a connection that is gone already is not counted again.

--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -274,7 +274,9 @@
 
 func (s *Server) closed(c *conn) {
 	c.endCalls()
-	s.conns.Delete(c)
+	if _, open := s.conns.LoadAndDelete(c); !open {
+		return // AddConn has failed, and the engine has told as well
+	}
 	s.open.Add(-1)
 	s.counters.connections.Dec()
 }
