upstream, gateway: Send nothing for a request that was given up

What callers saw: at the end of a stop, or after they had left, requests that no server had got were still passed on: 502 in place of a true 503, and a server at work for nobody. Rarely such a send went on until the call's deadline, and was cut when the process exited.

Cause: the end of a context set an expired deadline on the connection, and the write of the request set the call's deadline after that; nothing looked at the context before a send. When the context ended the health checks, a server was chosen without a check.

Change: the deadline is set before the end of the context can set its own, and a context that has ended ends the send before a byte is written (not run). No server is chosen for it either.

--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -271,6 +271,9 @@
 // serves services whose servers don't report their load, and requests for which no
 // server answers in time.
 func (d *dispatcher) chooseUnchecked(ctx context.Context, svc *service, demand placement.Demand, tried map[*upstream.Server]bool, now time.Time) *leasedServer {
+	if ctx.Err() != nil {
+		return nil
+	}
 	targets := eligibleTargets(svc.local, svc.state, tried, demand, now)
 	if len(targets) == 0 {
 		targets = eligibleTargets(svc.remote, svc.state, tried, demand, now)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -126,12 +126,25 @@
 	close  bool // the connection ends with the answer
 }
 
-// write sends a request and returns the number of bytes that the kernel accepted.
-func (c *conn) write(data []byte, deadline time.Time) (int, error) {
-	c.keep, c.fresh, c.deadline = false, false, deadline
+// begin sets the deadline of the next request. Until end is called, the end of the context
+// ends all reads and writes; end reports whether the context did not end. begin fails if it
+// has ended already: nothing is sent then.
+func (c *conn) begin(ctx context.Context, deadline time.Time) (end func() bool, err error) {
+	// In this order: the deadline must not replace the one that the context sets.
 	if err := c.raw.SetDeadline(deadline); err != nil {
-		return 0, errors.WithStack(err)
+		c.keep, c.fresh = false, false
+		return nil, errors.WithStack(err)
+	}
+	if ctx.Err() != nil {
+		return nil, errors.Wrap(ctx.Err(), "send a request")
 	}
+	c.deadline = deadline
+	return context.AfterFunc(ctx, func() { _ = c.raw.SetDeadline(expiredDeadline) }), nil
+}
+
+// write sends a request and returns the number of bytes that the kernel accepted.
+func (c *conn) write(data []byte) (int, error) {
+	c.keep, c.fresh = false, false
 	n, err := c.raw.Write(data)
 	return n, errors.WithStack(err)
 }
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -135,10 +135,14 @@
 
 // healthCheck sends a health check on a connection, and discards it on failure.
 func (s *Server) healthCheck(ctx context.Context, c *conn, deadline time.Time) (Health, error) {
+	end, err := c.begin(ctx, deadline)
+	if err != nil {
+		s.pool.put(c)
+		return Health{}, err
+	}
 	s.probes.Add(1)
-	stop := context.AfterFunc(ctx, func() { _ = c.raw.SetDeadline(expiredDeadline) })
-	m, err := s.exchangeCheck(ctx, c, deadline)
-	if !stop() && err == nil {
+	m, err := s.exchangeCheck(ctx, c)
+	if !end() && err == nil {
 		// The context ended, and the callback has set an expired deadline or is about to,
 		// so the connection can't be reused.
 		err = errors.WithStack(ctx.Err())
@@ -154,11 +158,11 @@
 	return health, nil
 }
 
-func (s *Server) exchangeCheck(ctx context.Context, c *conn, deadline time.Time) (response, error) {
+func (s *Server) exchangeCheck(ctx context.Context, c *conn) (response, error) {
 	if !s.options.Standing.Available(time.Now()) { // it may have asked while the connection was opened
 		return response{}, errors.WithStack(ErrLeftAlone)
 	}
-	if _, err := c.write(s.checkRequest, deadline); err != nil {
+	if _, err := c.write(s.checkRequest); err != nil {
 		return response{}, err
 	}
 	m, err := c.read(ctx, http.MethodGet, answerLimits{bodyBytes: maxCheckBodyBytes, memory: s.options.Memory, discard: true, observe: s.observe}, func(_ int, h http.Header) bool {
@@ -269,18 +273,21 @@
 )
 
 // Send sends a call and reads the whole answer, until the call's deadline or the end of
-// the context. It sends nothing, with ErrLeftAlone, if the server wants no requests. Without
+// the context. It sends nothing, with ErrLeftAlone, if the server wants no requests, and
+// nothing if the context has ended. Without
 // an answer it closes the connection, which tells the server that the caller no longer waits.
 // Usable reports whether the lease may carry another call.
 func (l *Lease) Send(ctx context.Context, call *Call) Result {
 	s := l.server
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	raw := l.conn.raw
-	stop := context.AfterFunc(ctx, func() { _ = raw.SetDeadline(expiredDeadline) })
+	end, err := l.conn.begin(ctx, call.Deadline)
+	if err != nil {
+		return Result{Outcome: NotRun, Err: err}
+	}
 	r := l.exchange(ctx, call)
-	// If stop returns false, the callback has set an expired deadline or is about to.
-	if !stop() || !l.conn.keep {
+	// If end returns false, the callback has set an expired deadline or is about to.
+	if !end() || !l.conn.keep {
 		s.pool.discard(l.conn)
 		l.conn = nil
 	}
@@ -295,7 +302,7 @@
 	if !s.options.Standing.Available(time.Now()) {
 		return Result{Outcome: NotRun, Err: errors.WithStack(ErrLeftAlone)}
 	}
-	if n, err := l.conn.write(s.encode(call), call.Deadline); err != nil {
+	if n, err := l.conn.write(s.encode(call)); err != nil {
 		if n == 0 {
 			return Result{Outcome: NotRun, Err: err}
 		}
