gateway: Check at each send whether the stop leaves time for it

One that was queued, or sent again, in the meantime was passed on shortly before the end of the stop and given up with 502, though it could be refused truthfully.

Change: the check is made before each send, for requests of the lame-duck period with the usual service time. A refusal that comes from the stop has no Retry-After: other gateways can take the request at once.

Result: a new case of TestStopAcceptsOnlyRequestsThatItCanAnswer (queued until the stop would cut it); before, the check knew no time but that of the arrival.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -46,6 +46,7 @@
 type dispatcher struct {
 	options *Options
 	metrics *counters
+	stop    stopState
 
 	mu     sync.Mutex
 	routes map[string]*routeState
@@ -150,6 +151,8 @@
 		return answer{status: http.StatusGatewayTimeout, reason: "timeout"}
 	case s.mayHaveRun:
 		return answer{status: http.StatusBadGateway, reason: reason}
+	case reason == reasonStopping: // another gateway can take it at once
+		return answer{status: http.StatusServiceUnavailable, reason: reason}
 	default:
 		return answer{status: http.StatusServiceUnavailable, reason: reason, retryAfter: cmp.Or(s.retryAfter, placement.RetryAfter(time.Until(s.deadline)))}
 	}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -26,7 +26,6 @@
 	log          logs.Logger
 	metrics      *counters
 	splitCounter atomic.Uint64
-	stop         stopState
 }
 
 // limits returns the limits on callers' requests from the current configuration, or no
@@ -63,11 +62,7 @@
 	req, a := h.newRequest(r, s, route, id, received)
 	if req != nil {
 		defer req.answers.release()
-		if h.stop.endsBefore(req, h.dispatcher.demand(req)) {
-			a = answer{status: http.StatusServiceUnavailable, reason: "stopping"}
-		} else {
-			a = h.dispatcher.dispatch(r.Context(), req)
-		}
+		a = h.dispatcher.dispatch(r.Context(), req)
 		h.recordAnswer(r.Context(), req, &a)
 	}
 	h.write(w, id, a)
@@ -166,7 +161,7 @@
 	}
 	h.metrics.countAnswer(a.status, now.Sub(r.received))
 	log := h.log
-	if stopping, ok := h.stop.since(r.received); ok {
+	if stopping, ok := h.dispatcher.stop.since(r.received); ok {
 		log = log.With("stopping", stopping.Round(time.Millisecond))
 	}
 	logRequest(log, r, a, now)
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -21,7 +21,11 @@
 	var handed *leasedServer
 	for {
 		demand, now := d.demand(s.request), time.Now()
-		if reason := s.cannotBeSent(ctx, demand, now); reason != "" {
+		reason := s.cannotBeSent(ctx, demand, now)
+		if reason == "" && d.stop.endsBefore(s.request, demand, now) {
+			reason = reasonStopping
+		}
+		if reason != "" {
 			handed.release()
 			return nil, reason
 		}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -103,7 +103,7 @@
 		Name: "callers", Address: s.Listen.Callers, Handler: h, MaxBodyBytes: o.MaxBodyBytes,
 		MemoryBytes: int(bodyMemoryShare * float64(s.VM.MemoryMB) * (1 << 20)), IdleTimeout: callerIdleTimeout, Limits: h.limits,
 	}}
-	stop := &stopper{settings: s.Stop, handler: h, callers: callers, members: o.Members, log: log}
+	stop := &stopper{settings: s.Stop, stop: &h.dispatcher.stop, current: h.current, callers: callers, members: o.Members, log: log}
 
 	root := tree.New("gateway", log)
 	for _, child := range []suture.Service{
@@ -223,7 +223,7 @@
 // ready answers 200 while the gateway accepts callers' connections, has a configuration
 // and is not stopping, else 503.
 func (s *stopper) ready(w http.ResponseWriter, _ *http.Request) {
-	if _, stopping := s.handler.stop.since(time.Now()); stopping || s.callers.server.Load() == nil || s.handler.current.get() == nil {
+	if _, stopping := s.stop.since(time.Now()); stopping || s.callers.server.Load() == nil || s.current.get() == nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -29,6 +29,9 @@
 	exitShare = 0.95
 )
 
+// reasonStopping is the reason of requests that the stop would cut.
+const reasonStopping = "stopping"
+
 var errStopping = errors.New("the gateway stops")
 
 // stopPlan holds the phases of a stop. All end at fixed shares of the grace period.
@@ -65,9 +68,10 @@
 	return now.Sub(plan.began), true
 }
 
-// endsBefore reports whether the stop may end before a request is answered: after the
-// lame-duck period before its deadline, and until then before the usual service time.
-func (s *stopState) endsBefore(r *request, d placement.Demand) bool {
+// endsBefore reports whether the stop may end before a request is answered that is sent now:
+// before its deadline, or, if it was received until the end of the lame-duck period, before
+// the usual service time.
+func (s *stopState) endsBefore(r *request, d placement.Demand, now time.Time) bool {
 	plan := s.plan.Load()
 	if plan == nil {
 		return false
@@ -75,13 +79,14 @@
 	if r.received.After(plan.lameDuckEnd) {
 		return r.deadline.After(plan.drainEnd)
 	}
-	return r.received.Add(min(d.ServiceTime, d.TimeLeft)).After(plan.drainEnd)
+	return now.Add(min(d.ServiceTime, d.TimeLeft)).After(plan.drainEnd)
 }
 
 // stopper shuts a gateway down without interrupting requests.
 type stopper struct {
 	settings settings.GatewayStop
-	handler  *handler
+	stop     *stopState
+	current  *latestSnapshot
 	callers  *callersListener
 	members  *fleet.Members
 	log      logs.Logger
@@ -94,7 +99,7 @@
 // discard the answer.
 func (s *stopper) run() {
 	plan := newStopPlan(time.Now(), s.settings.Grace.Duration)
-	s.handler.stop.plan.Store(plan)
+	s.stop.plan.Store(plan)
 	s.members.Leave()
 	server := s.callers.server.Load()
 	if server == nil {
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -42,7 +42,7 @@
 	assert.NilError(t, err)
 	s := &stopper{
 		settings: settings.GatewayStop{Grace: settings.Duration{Duration: grace}},
-		handler:  &handler{},
+		stop:     &stopState{},
 		callers:  &callersListener{}, members: fleet.NewMembers(&fleetwire.Member{Id: "g-1"}), log: logs.For("gateway"),
 	}
 	s.callers.server.Store(server)
@@ -101,16 +101,17 @@
 func TestStopAcceptsOnlyRequestsThatItCanAnswer(t *testing.T) {
 	began := time.Unix(1000, 0) // with a grace period of 6 s
 	for _, test := range []struct {
-		name                          string
-		received, timeout, expectWork time.Duration
-		stopping, refused             bool
+		name                                  string
+		received, timeout, expectWork, queued time.Duration
+		stopping, refused                     bool
 	}{
-		{"no stop", 5 * time.Second, 3 * time.Second, time.Second, false, false},
-		{"lame-duck period, may outlast the stop", 2 * time.Second, 10 * time.Second, time.Second, true, false},
-		{"lame-duck period, will outlast the stop", 2 * time.Second, 10 * time.Second, 4 * time.Second, true, true},
-		{"lame-duck period, its deadline comes before", 2 * time.Second, time.Second, 4 * time.Second, true, false},
-		{"late, its deadline comes before the end", 3 * time.Second, 2 * time.Second, time.Second, true, false},
-		{"late, its deadline comes after the end", 3 * time.Second, 3 * time.Second, 100 * time.Millisecond, true, true},
+		{"no stop", 5 * time.Second, 3 * time.Second, time.Second, 0, false, false},
+		{"lame-duck period, may outlast the stop", 2 * time.Second, 10 * time.Second, time.Second, 0, true, false},
+		{"lame-duck period, will outlast the stop", 2 * time.Second, 10 * time.Second, 4 * time.Second, 0, true, true},
+		{"lame-duck period, its deadline comes before", 2 * time.Second, time.Second, 4 * time.Second, 0, true, false},
+		{"late, its deadline comes before the end", 3 * time.Second, 2 * time.Second, time.Second, 0, true, false},
+		{"late, its deadline comes after the end", 3 * time.Second, 3 * time.Second, 100 * time.Millisecond, 0, true, true},
+		{"lame-duck period, queued until the stop would cut it", 2 * time.Second, 10 * time.Second, time.Second, 3 * time.Second, true, true},
 	} {
 		var s stopState
 		if test.stopping {
@@ -119,6 +120,6 @@
 		received := began.Add(test.received)
 		r := &request{received: received, deadline: received.Add(test.timeout)}
 		d := placement.Demand{ServiceTime: test.expectWork, TimeLeft: test.timeout}
-		assert.Equal(t, s.endsBefore(r, d), test.refused, test.name)
+		assert.Equal(t, s.endsBefore(r, d, received.Add(test.queued)), test.refused, test.name)
 	}
 }
