--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -21,11 +21,7 @@
 	var handed *leasedServer
 	for {
 		demand, now := d.demand(s.request), time.Now()
-		reason := s.cannotBeSent(ctx, demand, now)
-		if reason == "" && d.stop.endsBefore(s.request, demand, now) {
-			reason = reasonStopping
-		}
-		if reason != "" {
+		if reason := s.cannotBeSent(ctx, demand, now, &d.stop); reason != "" {
 			handed.release()
 			return nil, reason
 		}
@@ -58,12 +54,14 @@
 
 // cannotBeSent returns the reason to refuse a request at once, or "". If all servers have
 // asked for pauses, the caller is told when the first of them ends.
-func (s *dispatchState) cannotBeSent(ctx context.Context, demand placement.Demand, now time.Time) string {
+func (s *dispatchState) cannotBeSent(ctx context.Context, demand placement.Demand, now time.Time, stop *stopState) string {
 	switch {
 	case demand.TimeLeft <= 0 || ctx.Err() != nil:
 		return "deadline"
 	case len(s.service.local)+len(s.service.remote) == 0:
 		return "no-server"
+	case stop.endsBefore(s.request, demand, now):
+		return reasonStopping
 	}
 	until, closed := s.service.closedUntil(now)
 	switch {
--- a/internal/httpserver/barrier.go
+++ b/internal/httpserver/barrier.go
@@ -73,4 +73,4 @@
 	}
 }
 
-func (b *pollerBarrier) close() { b.near.Close() }
+func (b *pollerBarrier) close() { _ = b.near.Close() }
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -109,7 +109,7 @@
 	}
 	s.listener = listener
 	s.barrier, err = newPollerBarrier(func(nbc *nbio.Conn) error {
-		_, err := s.engine.Engine.AddConn(nbc)
+		_, err := s.engine.AddConn(nbc)
 		return err
 	})
 	if err != nil {
