soak: Find what stops take from slow callers, and memory taken by endless answers

Cause: the soak checked stops for callers that pipeline only, and these left soon. It knew no callers that are slow to send or to read, none behind a slow link, no large answers, no servers that send without end, and did not see a process's memory nor its end.

Change: slow callers, and pipelining over a slow link; all callers keep their connections until a stop is over. A check on stops for all of them, by the moment at which a request was sent whole; troubles of the store excuse nothing. Stops in series, told twice, beside a reload, right after a start; servers that send without end. Processes are killed at the end of their grace period; one that still runs then, ends by itself or takes more memory than its VM has is a violation. Runs with many gateways have more callers and servers; half of the machine's memory is the bound.

The check of pipelined requests at a stop has gone into the general one. That one passes over requests at a server with a fault, and those sent within 3 s of the SIGTERM whose server is at work in the last sixth of the grace period, as the rule has it; faults on the way to the store and the start of a process no longer excuse anything.

--- a/Makefile
+++ b/Makefile
@@ -83,12 +83,16 @@
 
 SEED ?=
 MINUTES ?=
-# Seeds that are run in CI; those that ever failed are listed in proof/soak/seeds.txt.
+GATEWAYS ?=
 SOAK_SECONDS := 8
+# Seeds that are run in CI, with their faults: one of each group, and those that ever failed,
+# which are listed in proof/soak/seeds.txt.
+SOAK_SHORT := 1@general 1@stop,stops 1@endless $(shell sed -n 's/^\([0-9][^ ]*\) .*/\1/p' proof/soak/seeds.txt)
 
-# Runs the fault soak: one seed, or fresh seeds for some minutes, or a short run.
+# Runs the fault soak: one seed, or fresh seeds for some minutes, or a short run; with
+# GATEWAYS=60 of many processes.
 soak: build
-	$(BIN)/soak --seconds $(SOAK_SECONDS) $(if $(SEED),--seed $(SEED),$(if $(SHORT),--seed 1 $(shell sed -n 's/^\([0-9][0-9]*\).*/--seed \1/p' proof/soak/seeds.txt),--runs $(if $(MINUTES),$(shell expr $(MINUTES) '*' 3),10)))
+	$(BIN)/soak --seconds $(SOAK_SECONDS) $(if $(GATEWAYS),--gateways $(GATEWAYS)) $(if $(SEED),--seed $(SEED),$(if $(SHORT),$(addprefix --seed ,$(SOAK_SHORT)),--runs $(if $(MINUTES),$(shell expr $(MINUTES) '*' 2),10)))
 
 # Shows that the soak finds each deliberate defect: every line must end in violations.
 soak-defects:
--- a/internal/standin/gateway.go
+++ b/internal/standin/gateway.go
@@ -69,12 +69,15 @@
 grace = "6s"
 `
 
+// Memory returns the memory of the gateway's VM in MB.
+func (s GatewaySettings) Memory() int { return cmp.Or(s.MemoryMB, defaultMemoryMB) }
+
 // Write writes the settings file.
 func (s GatewaySettings) Write(file string) error {
 	var seeds []string
 	for _, host := range s.Seeds {
 		seeds = append(seeds, fmt.Sprintf("\"%s:%d\"", host, gatewayFleetPort))
 	}
-	text := fmt.Sprintf(gatewaySettings, s.ID, s.Zone, s.Host, strings.Join(seeds, ", "), s.Store, s.RetrySlack, s.ProbesPerSecond, cmp.Or(s.MemoryMB, defaultMemoryMB))
+	text := fmt.Sprintf(gatewaySettings, s.ID, s.Zone, s.Host, strings.Join(seeds, ", "), s.Store, s.RetrySlack, s.ProbesPerSecond, s.Memory())
 	return errors.Wrap(os.WriteFile(file, []byte(text), 0o600), "write a gateway's settings")
 }
--- a/internal/standin/link.go
+++ b/internal/standin/link.go
@@ -24,9 +24,9 @@
 
 const (
 	// linkBuffer is the size of the receive buffers, in bytes.
-	linkBuffer = 16 << 10
+	linkBuffer = 32 << 10
 	// linkPiece is the most that is passed on at a time, in bytes.
-	linkPiece = 4 << 10
+	linkPiece = 8 << 10
 	// linkPieces are on the way at most.
 	linkPieces = 16
 )
--- a/proof/soak/faults.go
+++ b/proof/soak/faults.go
@@ -47,17 +47,25 @@
 		s.store.Compact()
 		return nil
 	}},
-	{"server cut", onServer(func(n *serverNode) func() { n.relay.Cut(); return n.relay.Heal })},
-	{"server silent", onServer(func(n *serverNode) func() { n.relay.Silence(); return nil })},
+	{"server cut", onServer(func(n *serverNode) func() {
+		healed := n.trouble(true)
+		n.relay.Cut()
+		return func() { n.relay.Heal(); healed() }
+	})},
+	{"server silent", onServer(func(n *serverNode) func() {
+		time.AfterFunc(silentFor, n.trouble(true))
+		n.relay.Silence()
+		return nil
+	})},
 	{"server delayed", onServer(func(n *serverNode) func() {
 		n.relay.Delay(30 * time.Millisecond)
 		return func() { n.relay.Delay(0) }
 	})},
 	{"server slow", onServer(func(n *serverNode) func() { n.server.Slow(6); return func() { n.server.Slow(1) } })},
-	{"server loses answers", onServer(failing(fake.LoseAnswer))},
-	{"server hangs", onServer(failing(fake.Hang))},
+	{"server loses answers", onServer(breaking(failing(fake.LoseAnswer)))},
+	{"server hangs", onServer(breaking(failing(fake.Hang)))},
 	{"server fails", onServer(failing(fake.Fail))},
-	{"server cuts answers short", onServer(failing(fake.CutShort))},
+	{"server cuts answers short", onServer(breaking(failing(fake.CutShort)))},
 	{"server says it leaves", func(s *Soak, rng *rand.Rand) func() { s.sayLeaving(rng); return nil }},
 	{"server asks for a pause", func(s *Soak, rng *rand.Rand) func() {
 		all := s.serverList()
@@ -96,6 +104,18 @@
 	}
 }
 
+// silentFor is the time after which no request waits on a silent connection any more.
+const silentFor = slowLimit
+
+// breaking notes a fault at a server as trouble that excuses the loss of answers.
+func breaking(do func(*serverNode) func()) func(*serverNode) func() {
+	return func(n *serverNode) func() {
+		over := n.trouble(false)
+		end := do(n)
+		return func() { end(); over() }
+	}
+}
+
 // failing breaks every third request.
 func failing(f fake.Fault) func(*serverNode) func() {
 	return func(n *serverNode) func() {
@@ -140,18 +160,26 @@
 	for _, e := range open {
 		e.do()
 	}
+	s.rest.Wait()
 	s.note("all faults end")
 }
 
-// kinds returns the kinds of fault to inject.
+// faultGroups are groups of faults by name. A seed draws the same general faults again if the
+// other groups grow.
+var faultGroups = []struct {
+	name   string
+	faults []fault
+}{{"general", faults}, {"stops", stopFaults}, {"endless", endlessFaults}}
+
+// kinds returns the kinds of fault to inject: all, or those that are named by themselves or by
+// their groups.
 func (s *Soak) kinds() []fault {
-	if len(s.options.Faults) == 0 {
-		return faults
-	}
 	var kinds []fault
-	for _, f := range faults {
-		if slices.Contains(s.options.Faults, f.name) {
-			kinds = append(kinds, f)
+	for _, group := range faultGroups {
+		for _, f := range group.faults {
+			if len(s.options.Faults) == 0 || slices.Contains(s.options.Faults, f.name) || slices.Contains(s.options.Faults, group.name) {
+				kinds = append(kinds, f)
+			}
 		}
 	}
 	return kinds
--- a/proof/soak/fleet.go
+++ b/proof/soak/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -23,24 +24,37 @@
 	settings string
 	log      string
 	store    *standin.Relay // its own way to the store
+	slow     *standin.Link  // a slow way to it
+	// report notes a violation.
+	report func(id, format string, args ...any)
 
 	mu      sync.Mutex
 	process *exec.Cmd
 	ended   chan struct{} // closed at the end of the process
 	started time.Time
 	calm    time.Time // no fault has touched it since
-	// disturbed is the last fault at the gateway other than a stop and a reload, and
-	// stopped when it was last told to stop.
-	disturbed, stopped time.Time
-	// disturbances holds all such faults and the starts of processes.
-	disturbances []time.Time
-	closing      bool
+	// disturbances holds the faults that excuse the loss of answers, and touches all of
+	// them and the starts of processes.
+	disturbances, touches []time.Time
+	stops                 []stop
+	killed                bool // the present process
+	closing               bool
 }
 
 func (g *gatewayNode) callers() string {
 	return fmt.Sprintf("%s:%d", g.host, standin.GatewayCallersPort)
 }
 
+// dial connects a caller, over a slow link if it says so.
+func (g *gatewayNode) dial(slow bool) (net.Conn, error) {
+	address := g.callers()
+	if slow {
+		address = g.slow.Address
+	}
+	raw, err := net.DialTimeout("tcp", address, callerDeadline)
+	return raw, errors.Wrapf(err, "connect to %s", g.id)
+}
+
 // serverNode is one server behind a relay.
 type serverNode struct {
 	server  *fake.Server
@@ -50,7 +64,7 @@
 	left    time.Time // when the store took that it leaves
 	// saysLeaving is set once the server's answers say that it leaves.
 	saysLeaving bool
-	calm        time.Time
+	troubles    []span // that excuse the loss of answers
 }
 
 // startGateways writes the settings of all gateways and starts them.
@@ -64,7 +78,10 @@
 		if err != nil {
 			return err
 		}
-		g := &gatewayNode{id: fmt.Sprintf("g%d", i), host: host, store: relay, calm: time.Now()}
+		g := &gatewayNode{id: fmt.Sprintf("g%d", i), host: host, store: relay, calm: time.Now(), report: s.violation}
+		if g.slow, err = standin.NewLink(g.callers(), linkRate, linkDelay); err != nil {
+			return err
+		}
 		g.settings = filepath.Join(s.dir, g.id+".toml")
 		g.log = filepath.Join(s.dir, g.id+".log")
 		settings := standin.GatewaySettings{
@@ -104,11 +121,12 @@
 		return errors.Wrapf(err, "start %s", o.Binary)
 	}
 	ended := make(chan struct{})
-	g.process, g.ended, g.started, g.calm = cmd, ended, time.Now(), time.Now()
-	g.disturbances = append(g.disturbances, g.started)
+	g.process, g.ended, g.started, g.calm, g.killed = cmd, ended, time.Now(), time.Now(), false
+	g.touches = append(g.touches, g.started)
 	go func() {
-		_ = cmd.Wait() // ended by a fault, or by itself, which the log tells
+		err := cmd.Wait()
 		_ = out.Close()
+		g.checkExit(cmd, err)
 		close(ended)
 		time.Sleep(restartPause)
 		_ = g.start(o)
@@ -116,6 +134,31 @@
 	return nil
 }
 
+// startTime is how long a process may take to listen to signals. A SIGTERM ends it at once
+// before that.
+const startTime = time.Second
+
+// checkExit checks that a process ended because it was told to.
+func (g *gatewayNode) checkExit(process *exec.Cmd, err error) {
+	g.mu.Lock()
+	killed, stopped, early := g.killed, g.stopping(), time.Since(g.started) < startTime
+	g.mu.Unlock()
+	status, _ := process.ProcessState.Sys().(syscall.WaitStatus)
+	switch {
+	case killed || stopped && err == nil:
+	case stopped && early && status.Signal() == syscall.SIGTERM:
+	case stopped:
+		g.report("", "the process of %s failed while it stopped: %v", g.id, err)
+	default:
+		g.report("", "the process of %s ended by itself: %v", g.id, err)
+	}
+}
+
+// stopping reports whether the present process was told to stop. The caller holds mu.
+func (g *gatewayNode) stopping() bool {
+	return len(g.stops) > 0 && g.stops[len(g.stops)-1].process.Equal(g.started)
+}
+
 // restartPause is how long a platform takes to start a process again.
 const restartPause = 300 * time.Millisecond
 
@@ -126,40 +169,67 @@
 	g.calm = time.Now()
 	switch sig {
 	case syscall.SIGTERM:
-		g.stopped = g.calm
+		if !g.stopping() {
+			g.stops = append(g.stops, stop{process: g.started, at: g.calm})
+			go g.endGrace(g.process, g.ended)
+		}
 	case syscall.SIGHUP:
 	default:
-		g.disturbed = g.calm
+		g.killed = g.killed || sig == syscall.SIGKILL
 		g.disturbances = append(g.disturbances, g.calm)
+		g.touches = append(g.touches, g.calm)
 	}
 	_ = g.process.Process.Signal(sig) // it may just have ended
 }
 
-// stoppedOnly reports whether the gateway was told to stop before the end of a request, and
-// nothing else has happened to it since contact before the request was sent.
-func (g *gatewayNode) stoppedOnly(sent, end time.Time) bool {
+// endGrace kills a process that has not stopped by the end of its grace period.
+func (g *gatewayNode) endGrace(process *exec.Cmd, ended <-chan struct{}) {
+	begin := time.Now()
+	select {
+	case <-ended:
+		return
+	case <-time.After(stopGrace):
+	}
+	g.mu.Lock()
+	if g.process != process {
+		g.mu.Unlock()
+		return
+	}
+	excused := g.killed || slices.ContainsFunc(g.disturbances, begin.Before)
+	g.killed = true
+	_ = process.Process.Kill() // it may just have ended
+	g.mu.Unlock()
+	if !excused {
+		g.report("", "the process of %s still runs %s after its SIGTERM", g.id, stopGrace)
+	}
+}
+
+// disturbedBetween reports whether a fault that excuses the loss of answers touched the
+// gateway in a span of time.
+func (g *gatewayNode) disturbedBetween(from, to time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return end.Sub(g.stopped) < stopGrace+time.Second && sent.Sub(g.disturbed) > contact
+	return within(g.disturbances, from, to)
 }
 
-// disturbedBetween reports whether a fault touched the gateway, or a process of it started,
+// touchedBetween reports whether a fault touched the gateway, or a process of it started,
 // in a span of time.
-func (g *gatewayNode) disturbedBetween(from, to time.Time) bool {
+func (g *gatewayNode) touchedBetween(from, to time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return slices.ContainsFunc(g.disturbances, func(at time.Time) bool { return at.After(from) && at.Before(to) })
+	return within(g.touches, from, to)
 }
 
-// stopGrace is the time that gateways have to stop.
-const stopGrace = 6 * time.Second
+func within(list []time.Time, from, to time.Time) bool {
+	return slices.ContainsFunc(list, func(at time.Time) bool { return at.After(from) && at.Before(to) })
+}
 
-// touched notes a fault at the gateway.
+// touched notes a fault on the gateway's way to the store.
 func (g *gatewayNode) touched() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.calm, g.disturbed = time.Now(), time.Now()
-	g.disturbances = append(g.disturbances, g.calm)
+	g.calm = time.Now()
+	g.touches = append(g.touches, g.calm)
 }
 
 // since returns when the present process started and since when no fault touched
@@ -182,6 +252,7 @@
 		<-ended
 	}
 	g.store.Close()
+	g.slow.Close()
 }
 
 // startServer starts a server behind a relay and registers it.
@@ -197,7 +268,7 @@
 		return err
 	}
 	server.Advertise(relay.Address)
-	n := &serverNode{server: server, relay: relay, service: service, calm: time.Now()}
+	n := &serverNode{server: server, relay: relay, service: service}
 	s.mu.Lock()
 	s.servers = append(s.servers, n)
 	s.mu.Unlock()
--- a/proof/soak/pipeline.go
+++ b/proof/soak/pipeline.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -12,14 +11,15 @@
 	"time"
 
 	"github.com/baobabstack/baobabstack/platform"
+	"github.com/baobabstack/baobabstack/platform/fake"
 )
 
 const (
 	// pipelineInterval bounds the pause between two requests on a connection: some are
 	// shorter than a request runs, some are longer.
 	pipelineInterval = 2 * workTime
-	// pipelineTime bounds how long a connection is used.
-	pipelineTime = 8 * time.Second
+	// pipelineAnswer is the size of answers on slow links, in bytes.
+	pipelineAnswer = 12 << 10
 	// networkDelay is the time that an answer takes to its caller, who goes on sending.
 	networkDelay = 3 * time.Millisecond
 )
@@ -30,6 +30,7 @@
 	soak    *Soak
 	gateway *gatewayNode
 	raw     net.Conn
+	slow    bool // the connection goes through the gateway's slow link
 
 	mu      sync.Mutex
 	pending []claim
@@ -41,15 +42,16 @@
 func (s *Soak) pipeliningCaller(ctx context.Context, rng *rand.Rand) {
 	for ctx.Err() == nil {
 		g := s.gateways[rng.IntN(len(s.gateways))]
-		raw, err := net.DialTimeout("tcp", g.callers(), callerDeadline)
+		slow := rng.IntN(2) == 0
+		raw, err := g.dial(slow)
 		if err != nil {
 			time.Sleep(callerPause)
 			continue
 		}
-		p := &pipeline{soak: s, gateway: g, raw: raw, ended: make(chan struct{})}
+		p := &pipeline{soak: s, gateway: g, raw: raw, slow: slow, ended: make(chan struct{})}
 		go p.receive()
 		pause := time.Duration(rng.Int64N(int64(pipelineInterval)))
-		for end := time.Now().Add(time.Duration(rng.Int64N(int64(pipelineTime)))); ctx.Err() == nil && time.Now().Before(end) && p.send(); {
+		for end := time.Now().Add(connectionTime(rng)); ctx.Err() == nil && time.Now().Before(end) && p.send(); {
 			time.Sleep(pause)
 		}
 		p.finish()
@@ -64,9 +66,14 @@
 		return false
 	}
 	c := newClaim("p", p.gateway)
+	c.kind, c.behind, c.whole = "pipeline", len(p.pending) > 0, c.sent
+	size := 0
+	if p.slow {
+		c.kind, c.onWay, size = "pipeline,slow link", linkSlack, pipelineAnswer
+	}
 	p.pending = append(p.pending, c)
 	names := platform.Dialect()
-	_, err := fmt.Fprintf(p.raw, "GET /%s HTTP/1.1\r\nHost: look.example\r\n%s: %s\r\n%s: %d\r\n\r\n", c.id, names.CallID, c.id, names.Deadline, callerDeadline.Milliseconds())
+	_, err := fmt.Fprintf(p.raw, "GET /%s?%s=%d HTTP/1.1\r\nHost: look.example\r\n%s: %s\r\n%s: %d\r\n\r\n", c.id, fake.SizeQuery, size, names.CallID, c.id, names.Deadline, callerDeadline.Milliseconds())
 	return err == nil // the receiver sees the end of the connection too
 }
 
@@ -76,58 +83,52 @@
 	reader := bufio.NewReader(p.raw)
 	for {
 		if _, err := reader.Peek(1); err != nil {
-			break
+			p.cut(err)
+			return
 		}
 		time.Sleep(networkDelay)
-		res, err := http.ReadResponse(reader, nil)
+		a, err := readAnswer(reader)
 		if err != nil {
-			break
-		}
-		_, err = io.Copy(io.Discard, res.Body)
-		_ = res.Body.Close()
-		if err != nil {
-			break
+			p.cut(err)
+			return
 		}
-		if p.answered(res) {
+		if p.answered(a) {
 			return
 		}
 	}
-	p.cut()
 }
 
 // answered notes the answer to the oldest request, and returns true if it ends the
 // connection. Requests behind it count as not read.
-func (p *pipeline) answered(res *http.Response) bool {
+func (p *pipeline) answered(a answer) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.pending) == 0 {
-		p.soak.violation("", "%s sent an answer that nobody had asked for: %d %v", p.gateway.id, res.StatusCode, res.Header)
+		p.soak.violation("", "%s sent an answer that nobody had asked for: %d %v", p.gateway.id, a.status, a.header)
 		return true
 	}
 	c := p.pending[0]
 	p.pending = p.pending[1:]
-	if id := res.Header.Get(platform.Dialect().CallID); id != c.id && res.StatusCode == http.StatusOK {
+	if id := a.header.Get(platform.Dialect().CallID); id != c.id && a.status == http.StatusOK {
 		p.soak.violation(c.id, "the answer to %q in place of its own", id)
 	}
-	c.status = res.StatusCode
+	c.status, c.signed = a.status, a.header.Get(platform.Dialect().Signature) != ""
+	c.endedBy(nil)
 	p.soak.claimed(c)
-	p.closing = res.Close
-	if res.Close {
+	p.closing = a.closes
+	if a.closes {
 		p.soak.behindClosing(p.pending)
 	}
-	return res.Close
+	return a.closes
 }
 
-// cut notes the requests that were in time when the connection ended without their answers.
-func (p *pipeline) cut() {
-	now := time.Now()
+// cut notes the requests whose answers had not come when the connection ended.
+func (p *pipeline) cut(err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closing = true
 	for _, c := range p.pending {
-		if now.Sub(c.sent) < callerDeadline && p.gateway.stoppedOnly(c.sent, now) {
-			p.soak.cutAtStop(c)
-		}
+		c.endedBy(err)
 		p.soak.claimed(c)
 	}
 }
--- a/proof/soak/soak.go
+++ b/proof/soak/soak.go
@@ -5,15 +5,18 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/baobabstack/baobabstack/internal/standin"
 	"github.com/baobabstack/baobabstack/platform/fake"
 )
 
@@ -44,10 +47,16 @@
 	drainBound  = 2 * time.Second
 	configBound = 2 * time.Second
 	contact     = 3 * time.Second
+	// reportedViolations of a kind are shown.
+	reportedViolations = 5
 	// recovery is the platform's bound after the last fault.
 	recovery = 15 * time.Second
 	// callersPerPipeline is the number of callers for each that pipelines its requests.
 	callersPerPipeline = 6
+	// slowPerCaller is the number of slow callers for each caller.
+	slowPerCaller = 2
+	// callersPerServer is the number of callers for each server of a service.
+	callersPerServer = 6
 	// recoveryChecks requests are sent then, of which nine in ten must be served.
 	recoveryChecks = 50
 )
@@ -60,30 +69,42 @@
 	gateways []*gatewayNode
 	serial   int
 	begin    time.Time
+	memory   int            // of a gateway's VM, in MB
+	rest     sync.WaitGroup // of faults that go on beside others
 
 	mu          sync.Mutex
 	servers     []*serverNode
 	claims      []claim
 	leaving     map[leavingAnswer]time.Time // when a caller first got such an answer
 	behind      []claim                     // sent behind an answer that ended their connections
-	cut         []claim                     // unanswered on connections that a gateway ended while it stopped
+	lostBy      map[string]int              // requests whose answers a stop took, by kind
+	peak        int                         // the most memory of a gateway's process, in MB
 	history     []string
-	violations  []string
+	violations  []violation
 	version     int
 	versionAt   time.Time
 	storeCalmAt time.Time
 }
 
+// violation is a broken promise. Those of a kind have the same kind.
+type violation struct{ kind, text string }
+
 // Run runs a soak and writes what it found. It returns the number of violations.
 func Run(o Options, out io.Writer) (int, error) {
 	dir, err := os.MkdirTemp("", "soak")
 	if err != nil {
 		return 0, errors.Wrap(err, "make a directory for logs")
 	}
-	s := &Soak{options: o, dir: dir, store: fake.NewStore(), begin: time.Now(), leaving: make(map[leavingAnswer]time.Time)}
+	s := &Soak{
+		options: o, dir: dir, store: fake.NewStore(), begin: time.Now(), memory: standin.GatewaySettings{}.Memory(),
+		leaving: make(map[leavingAnswer]time.Time), lostBy: make(map[string]int),
+	}
 	defer s.close()
+	if total, err := machineMemory(); err != nil || o.Gateways*s.memory > total/2 {
+		return 0, errors.Errorf("%d gateways of %d MB may take over half of the machine's memory: %d MB (%v)", o.Gateways, s.memory, total, err)
+	}
 	s.configure()
-	for range 4 {
+	for range max(4, o.Callers/callersPerServer) {
 		for _, service := range []string{"look", "book"} {
 			if err := s.startServer(service); err != nil {
 				return 0, err
@@ -111,8 +132,12 @@
 	for i := range s.options.Callers / callersPerPipeline {
 		running.Go(func() { s.pipeliningCaller(ctx, rand.New(rand.NewPCG(s.options.Seed, uint64(i)+1<<32))) }) //nolint:gosec // not secret
 	}
+	for i := range s.options.Callers * slowPerCaller {
+		running.Go(func() { s.slowCaller(ctx, rand.New(rand.NewPCG(s.options.Seed, uint64(i)+2<<32))) }) //nolint:gosec // not secret
+	}
 	for _, g := range s.gateways {
 		running.Go(func() { s.watchVersions(ctx, g) })
+		running.Go(func() { s.watchMemory(ctx, g) })
 	}
 	running.Go(func() { s.watchLeaving(ctx) })
 	s.inject(rand.New(rand.NewPCG(s.options.Seed, 0)), s.options.Length) //nolint:gosec // not secret
@@ -133,7 +158,7 @@
 		good := 0
 		for i := range recoveryChecks {
 			c := claim{id: fmt.Sprintf("s%d", serial.Add(1)), gateway: s.gateways[i%len(s.gateways)]}
-			if s.request(client, c, "look") == http.StatusOK {
+			if s.request(client, &c, "look") == http.StatusOK {
 				good++
 			}
 		}
@@ -158,11 +183,7 @@
 	}
 	requests := make(map[string]int)
 	for _, c := range s.claims {
-		service := "look"
-		if c.unsafe {
-			service = "book"
-		}
-		requests[service]++
+		requests[c.service()]++
 		switch n := runs[c.id]; {
 		case c.unsafe && n > 1:
 			s.violation(c.id, "an unsafe request ran %d times", n)
@@ -177,11 +198,7 @@
 			s.violation(c.id, "a request behind an answer that ended its connection ran; its caller sends it again")
 		}
 	}
-	for _, c := range s.cut {
-		if runs[c.id] > 0 {
-			s.violation(c.id, "%s ran the request and ended its connection without an answer while it stopped", c.gateway.id)
-		}
-	}
+	s.checkStops()
 	windows := 1 + time.Since(s.begin).Seconds()/10
 	if extra := arrivals["book"] - requests["book"]; float64(extra) > 0.2*float64(requests["book"])+retrySlack*windows {
 		s.violation("", "%d extra sends beside %d unsafe requests", extra, requests["book"])
@@ -190,7 +207,7 @@
 		s.violation("", "%.0f health checks a server and second, %d are allowed", rate, probesPerSecond)
 	}
 	s.checkStanding()
-	s.note(fmt.Sprintf("%d requests, %d health checks, %d calls to the store", len(s.claims), checks, s.store.Calls()))
+	s.note(fmt.Sprintf("%d requests, %d health checks, %d calls to the store, %d MB at most in a gateway", len(s.claims), checks, s.store.Calls(), s.peak))
 }
 
 // watchLeaving checks that leaving servers get no new work.
@@ -226,6 +243,8 @@
 	s.store.Configure(n, []fake.Route{
 		{Host: "look", Service: "look", Safe: true, Timeout: time.Second},
 		{Host: "book", Service: "book", Timeout: time.Second},
+		{Host: "slowlook", Service: "look", Safe: true, Timeout: slowLimit},
+		{Host: "slowbook", Service: "book", Timeout: slowLimit},
 		{Host: fmt.Sprintf("v%d", n), Service: "look", Safe: true, Timeout: time.Second},
 		{Host: fmt.Sprintf("v%d", n-1), Service: "look", Safe: true, Timeout: time.Second},
 	})
@@ -273,13 +292,6 @@
 	s.behind = append(s.behind, list...)
 }
 
-// cutAtStop notes a request without an answer on a connection that a gateway ended.
-func (s *Soak) cutAtStop(c claim) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.cut = append(s.cut, c)
-}
-
 func (s *Soak) serverList() []*serverNode {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -289,12 +301,22 @@
 // violation notes a broken promise, with the log lines of the request.
 func (s *Soak) violation(id, format string, args ...any) {
 	text := fmt.Sprintf("%7.3f s  %s %s", time.Since(s.begin).Seconds(), id, fmt.Sprintf(format, args...))
-	for _, line := range s.logLines(id) {
-		text += "\n    " + line
+	s.mu.Lock()
+	same := 0
+	for _, v := range s.violations {
+		if v.kind == format {
+			same++
+		}
+	}
+	s.mu.Unlock()
+	if same < reportedViolations {
+		for _, line := range s.logLines(id) {
+			text += "\n    " + line
+		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.violations = append(s.violations, text)
+	s.violations = append(s.violations, violation{format, text})
 }
 
 func (s *Soak) logLines(id string) []string {
@@ -326,8 +348,17 @@
 	for _, h := range s.history {
 		fmt.Fprintln(out, "  ", h)
 	}
-	for _, v := range s.violations[:min(len(s.violations), 10)] {
-		fmt.Fprintln(out, "VIOLATION", v)
+	kinds := make(map[string]int)
+	for _, v := range s.violations {
+		if kinds[v.kind]++; kinds[v.kind] <= reportedViolations {
+			fmt.Fprintln(out, "VIOLATION", v.text)
+		}
+	}
+	for _, kind := range slices.Sorted(maps.Keys(kinds)) {
+		fmt.Fprintf(out, "   %d of: %s\n", kinds[kind], kind)
+	}
+	for _, kind := range slices.Sorted(maps.Keys(s.lostBy)) {
+		fmt.Fprintf(out, "   %d answers lost around a stop by callers: %s\n", s.lostBy[kind], kind)
 	}
 	fmt.Fprintln(out, "logs:", s.dir)
 }
--- a/proof/soak/standing.go
+++ b/proof/soak/standing.go
@@ -59,14 +59,14 @@
 // checkLeaving checks a request that reached a server against what its gateway had passed on.
 func (s *Soak) checkLeaving(server string, c claim, at time.Time) {
 	heard, leaves := s.leaving[leavingAnswer{c.gateway, c.process, server}]
-	if since := c.sent.Sub(heard); leaves && since > drainBound && !c.gateway.disturbedBetween(heard, at) {
+	if since := c.sent.Sub(heard); leaves && since > drainBound && !c.gateway.touchedBetween(heard, at) {
 		s.violation(c.id, "%s sent it to %s, which had said that it leaves %s before", c.gateway.id, server, since.Round(time.Millisecond))
 	}
 }
 
 // checkPause counts a request that reached a server in a pause.
 func (s *Soak) checkPause(server string, c claim, at time.Time, p *pause) {
-	if !p.covers(at) || c.gateway.disturbedBetween(p.from, at) {
+	if !p.covers(at) || c.gateway.touchedBetween(p.from, at) {
 		return
 	}
 	if p.arrived++; p.arrived == pauseArrivals+1 {
