--- a/proof/soak/faults.go
+++ b/proof/soak/faults.go
@@ -117,15 +117,18 @@
 }
 
 // failing breaks every third request.
-func failing(f fake.Fault) func(*serverNode) func() {
-	return func(n *serverNode) func() {
-		n.server.Fault(func(i int) fake.Fault {
-			if i%3 == 0 {
+func failing(f fake.Fault) func(*serverNode) func() { return failingEach(3, f) }
+
+// failingEach breaks every nth request.
+func failingEach(n int, f fake.Fault) func(*serverNode) func() {
+	return func(s *serverNode) func() {
+		s.server.Fault(func(i int) fake.Fault {
+			if i%n == 0 {
 				return f
 			}
 			return fake.NoFault
 		})
-		return func() { n.server.Fault(nil) }
+		return func() { s.server.Fault(nil) }
 	}
 }
 
--- a/proof/soak/stopfaults.go
+++ b/proof/soak/stopfaults.go
@@ -76,13 +76,14 @@
 // later does the rest of a fault beside others. The faults end when it is done.
 func (s *Soak) later(do func()) { s.rest.Go(do) }
 
-// endless makes up to half of the servers send without end.
+// endless makes up to all servers send without end, to each request or to some.
 func endless(f fake.Fault) func(*Soak, *rand.Rand) func() {
 	return func(s *Soak, rng *rand.Rand) func() {
 		all := s.serverList()
 		var ends []func()
-		for range 1 + rng.IntN(len(all)/2) {
-			ends = append(ends, breaking(failing(f))(all[rng.IntN(len(all))]))
+		each := 1 + rng.IntN(3)
+		for range 1 + rng.IntN(len(all)) {
+			ends = append(ends, breaking(failingEach(each, f))(all[rng.IntN(len(all))]))
 		}
 		return func() {
 			for _, end := range ends {
