--- a/proof/soak/stops.go
+++ b/proof/soak/stops.go
@@ -116,11 +116,12 @@
 	return ""
 }
 
-// late reports whether a request was sent whole soon after the SIGTERM and its server was at
-// work until near the end of the grace period.
+// late reports whether a request was sent whole soon after the SIGTERM, and its server was at
+// work until near the end of the grace period, when the gateway gave it up.
 func late(c *claim, visits []visit, at time.Time) bool {
-	return c.whole.Sub(at) <= lateSend && slices.ContainsFunc(visits, func(v visit) bool {
-		return !v.began.IsZero() && v.began.Before(at.Add(stopGrace)) && (v.end.IsZero() || v.end.After(at.Add(stopGrace-lateWork)))
+	end := at.Add(stopGrace - lateWork)
+	return c.whole.Sub(at) <= lateSend && c.ended.After(end) && slices.ContainsFunc(visits, func(v visit) bool {
+		return !v.began.IsZero() && (v.end.IsZero() || v.end.After(end))
 	})
 }
 
