soak: Find answers lost while nothing happens to their gateway

Cause: a lost answer counted around a stop only.

Change: so does, at any time, a request that reached a sound server and whose connection its gateway ended without an answer, if nothing disturbed the gateway.

--- a/proof/soak/doc.go
+++ b/proof/soak/doc.go
@@ -9,8 +9,8 @@
 // orders) and endless (servers that send without end). A seed draws the same faults as
 // long as its groups stay as they are; it does not fix what happens when.
 //
-// A planned stop must take no answer from a caller (checkStops). A request counts as
-// sent with its last byte. Faults at its gateway or its server excuse it; the store's
-// do not. No process may end by itself, outlast its grace period or take more memory
-// than its VM has.
+// A gateway must take no answer from a caller, in a planned stop or at any other time
+// (checkLost). A request counts as sent with its last byte. Faults at its gateway or its
+// server excuse it; the store's do not. No process may end by itself, outlast its grace
+// period or take more memory than its VM has.
 package soak
--- a/proof/soak/soak.go
+++ b/proof/soak/soak.go
@@ -198,7 +198,7 @@
 			s.violation(c.id, "a request behind an answer that ended its connection ran; its caller sends it again")
 		}
 	}
-	s.checkStops()
+	s.checkLost()
 	windows := 1 + time.Since(s.begin).Seconds()/10
 	if extra := arrivals["book"] - requests["book"]; float64(extra) > 0.2*float64(requests["book"])+retrySlack*windows {
 		s.violation("", "%d extra sends beside %d unsafe requests", extra, requests["book"])
--- a/proof/soak/stops.go
+++ b/proof/soak/stops.go
@@ -73,17 +73,24 @@
 	return all
 }
 
-// checkStops checks that planned stops took no answers from callers.
-func (s *Soak) checkStops() {
+// checkLost checks that callers lost no answers at gateways without a disturbance: neither
+// around planned stops nor at other times.
+func (s *Soak) checkLost() {
 	visits := s.visits()
 	for _, c := range s.claims {
-		at := c.gateway.stopAround(&c)
-		if at.IsZero() || c.gateway.disturbedBetween(c.sent.Add(-contact), c.ended) || c.ended.Sub(c.sent) > c.limit-limitSlack {
+		if c.gateway.disturbedBetween(c.sent.Add(-contact), c.ended) || c.ended.Sub(c.sent) > c.limit-limitSlack {
 			continue
 		}
-		v := visits[c.id]
+		v, at := visits[c.id], c.gateway.stopAround(&c)
 		text := takenBy(&c, v)
-		if text == "" || late(&c, v, at) || s.serverTroubled(&c, v) {
+		if text == "" || s.serverTroubled(&c, v) {
+			continue
+		}
+		if at.IsZero() {
+			s.checkCalmLoss(&c, v, text)
+			continue
+		}
+		if late(&c, v, at) {
 			continue
 		}
 		s.lostBy[c.kind]++
@@ -92,6 +99,14 @@
 	}
 }
 
+// checkCalmLoss checks a request whose answer was taken while its gateway did not stop. Only
+// a request that was passed on counts, and an answer of the gateway's own does not.
+func (s *Soak) checkCalmLoss(c *claim, visits []visit, text string) {
+	if c.lost && len(visits) > 0 {
+		s.violation(c.id, "%s %s, though it did not stop; unsafe %t, %s, after %s", c.gateway.id, text, c.unsafe, c.kind, c.ended.Sub(c.sent).Round(time.Millisecond))
+	}
+}
+
 func since(at, moment time.Time) string {
 	if moment.IsZero() {
 		return "never"
