soak, standin: Take the times of slow links from the links

The bound of 250 ms for the way was a guess.

Change: a link tells when it last passed bytes on to its target, and when that ended the connection.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -20,7 +20,7 @@
 	Runs     int      `long:"runs" description:"Number of runs with fresh seeds"`
 	Seconds  int      `long:"seconds" default:"15" description:"Length of a run's faults"`
 	Gateways int      `long:"gateways" default:"5" description:"Number of gateways"`
-	Callers  int      `long:"callers" description:"Number of callers; by default 24, or two a gateway if that is more"`
+	Callers  int      `long:"callers" description:"Number of callers; by default 24, or one a gateway if that is more"`
 	Faults   []string `long:"fault" description:"Kind or group (general, stops, endless) of faults to inject, of all if none is named; may be repeated"`
 	Defect   string   `long:"defect" description:"Deliberate defect to switch on; the binary needs the build tag defects"`
 }
@@ -34,7 +34,7 @@
 		o.Seed = append(o.Seed, fmt.Sprint(rand.Uint32()))
 	}
 	if o.Callers == 0 {
-		o.Callers = max(minCallers, 2*o.Gateways)
+		o.Callers = max(minCallers, o.Gateways)
 	}
 	found := 0
 	for _, seed := range o.Seed {
--- a/internal/standin/link.go
+++ b/internal/standin/link.go
@@ -20,6 +20,33 @@
 	rate     int // bytes a second
 	delay    time.Duration
 	listener net.Listener
+
+	mu     sync.Mutex
+	passed map[string]LinkTimes // by caller's address
+}
+
+// LinkTimes tells when bytes of a connection were passed on. A busy machine makes a link
+// slower than it is meant to be.
+type LinkTimes struct {
+	// Sent is when the target last got bytes, and Ended when it ended its direction; zero
+	// before that.
+	Sent, Ended time.Time
+}
+
+// Times returns the times of the connection from a caller's address.
+func (l *Link) Times(caller net.Addr) LinkTimes {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.passed[caller.String()]
+}
+
+// note changes the times of a connection.
+func (l *Link) note(caller net.Addr, change func(*LinkTimes)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	times := l.passed[caller.String()]
+	change(&times)
+	l.passed[caller.String()] = times
 }
 
 const (
@@ -37,7 +64,7 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	l := &Link{Address: listener.Addr().String(), target: target, rate: rate, delay: delay, listener: listener}
+	l := &Link{Address: listener.Addr().String(), target: target, rate: rate, delay: delay, listener: listener, passed: make(map[string]LinkTimes)}
 	go l.accept()
 	return l, nil
 }
@@ -67,8 +94,14 @@
 	_ = in.SetReadBuffer(linkBuffer)
 	_ = out.SetReadBuffer(linkBuffer)
 	var both sync.WaitGroup
-	both.Go(func() { l.copy(out, in) })
-	both.Go(func() { l.copy(in, out) })
+	caller := in.RemoteAddr()
+	l.note(caller, func(t *LinkTimes) { *t = LinkTimes{} })
+	both.Go(func() {
+		l.copy(out, in, func() { l.note(caller, func(t *LinkTimes) { t.Sent = time.Now() }) }, func() {})
+	})
+	both.Go(func() {
+		l.copy(in, out, func() {}, func() { l.note(caller, func(t *LinkTimes) { t.Ended = time.Now() }) })
+	})
 	both.Wait()
 }
 
@@ -79,14 +112,18 @@
 	due  time.Time
 }
 
-// copy passes one direction on until its end.
-func (l *Link) copy(to, from *net.TCPConn) {
+// copy passes one direction on until its end. It tells when it has passed bytes on and when
+// the direction has ended.
+func (l *Link) copy(to, from *net.TCPConn, passed, ended func()) {
 	pieces := make(chan passedPiece, linkPieces)
 	var delivery sync.WaitGroup
-	delivery.Go(func() { deliver(to, pieces) })
+	delivery.Go(func() { deliver(to, pieces, passed) })
 	for {
 		data := make([]byte, linkPiece)
 		n, err := from.Read(data)
+		if err != nil {
+			ended()
+		}
 		time.Sleep(time.Duration(n) * time.Second / time.Duration(l.rate))
 		pieces <- passedPiece{data: data[:n], end: err, due: time.Now().Add(l.delay)}
 		if err != nil {
@@ -99,10 +136,13 @@
 
 // deliver writes pieces when they are due. What can't be written is dropped: the other
 // direction sees why.
-func deliver(to *net.TCPConn, pieces <-chan passedPiece) {
+func deliver(to *net.TCPConn, pieces <-chan passedPiece, passed func()) {
 	for p := range pieces {
 		time.Sleep(time.Until(p.due))
-		_, _ = to.Write(p.data)
+		if len(p.data) > 0 {
+			_, _ = to.Write(p.data)
+			passed()
+		}
 		switch {
 		case p.end == nil:
 		case errors.Is(p.end, io.EOF):
--- a/proof/soak/pipeline.go
+++ b/proof/soak/pipeline.go
@@ -69,7 +69,7 @@
 	c.kind, c.behind, c.whole = "pipeline", len(p.pending) > 0, c.sent
 	size := 0
 	if p.slow {
-		c.kind, c.onWay, size = "pipeline,slow link", linkSlack, pipelineAnswer
+		c.kind, size = "pipeline,slow link", pipelineAnswer
 	}
 	p.pending = append(p.pending, c)
 	names := platform.Dialect()
@@ -129,6 +129,9 @@
 	p.closing = true
 	for _, c := range p.pending {
 		c.endedBy(err)
+		if p.slow {
+			c.over(p.gateway.slow.Times(p.raw.LocalAddr()))
+		}
 		p.soak.claimed(c)
 	}
 }
--- a/proof/soak/slow.go
+++ b/proof/soak/slow.go
@@ -44,11 +44,9 @@
 	// the most that it reads at a time, in bytes.
 	slowReadBuffer = 32 << 10
 	slowReadPiece  = 8 << 10
-	// linkRate and linkDelay are those of slow links; linkSlack bounds the time that
-	// bytes are on their way through one.
+	// linkRate, in bytes a second, and linkDelay are those of slow links.
 	linkRate  = 2 << 20
 	linkDelay = 25 * time.Millisecond
-	linkSlack = 250 * time.Millisecond
 )
 
 // connectionTime is how long a caller uses a connection. It outlasts a stop.
@@ -127,7 +125,7 @@
 		kind, r.readTime = append(kind, "slow read"), time.Duration(rng.Int64N(int64(slowRead)))
 	}
 	if x.slowLink {
-		kind, r.onWay = append(kind, "slow link"), linkSlack
+		kind = append(kind, "slow link")
 	}
 	r.kind = strings.Join(kind, ",")
 	r.target = fmt.Sprintf("/%s?%s=%d&%s=%d", r.id, fake.SizeQuery, r.size, fake.WorkQuery, work.Milliseconds())
@@ -149,6 +147,9 @@
 		_ = x.raw.Close()
 	}
 	r.whole = <-whole
+	if x.slowLink {
+		r.over(x.gateway.slow.Times(x.raw.LocalAddr()))
+	}
 	if err == nil {
 		r.status = a.status
 		x.soak.checkAnswer(&r.claim, a.header, a.body, fake.AnswerBody(r.id, r.method, r.target, r.body))
