--- a/internal/standin/link.go
+++ b/internal/standin/link.go
@@ -84,6 +84,8 @@
 
 func (l *Link) pass(in *net.TCPConn) {
 	defer func() { _ = in.Close() }()
+	caller := in.RemoteAddr()
+	l.note(caller, func(t *LinkTimes) { *t = LinkTimes{} })
 	target, err := net.DialTimeout("tcp", l.target, relayConnectTimeout)
 	if err != nil {
 		_ = in.SetLinger(0)
@@ -94,8 +96,6 @@
 	_ = in.SetReadBuffer(linkBuffer)
 	_ = out.SetReadBuffer(linkBuffer)
 	var both sync.WaitGroup
-	caller := in.RemoteAddr()
-	l.note(caller, func(t *LinkTimes) { *t = LinkTimes{} })
 	both.Go(func() {
 		l.copy(out, in, func() { l.note(caller, func(t *LinkTimes) { t.Sent = time.Now() }) }, func() {})
 	})
--- a/proof/soak/callers.go
+++ b/proof/soak/callers.go
@@ -166,6 +166,9 @@
 // more than it should while the machine is busy.
 func (c *claim) over(link standin.LinkTimes) {
 	c.there = link.Sent
+	if link.Sent.IsZero() {
+		c.whole = time.Time{} // the gateway took no connection
+	}
 	if c.lost && !link.Ended.IsZero() {
 		c.ended = link.Ended
 	}
