memory: Give up the largest answers first, and keep memory for answers that can be sent

Cause: when the memory for answers was used up, each waiting answer above its share was given up at once; and answers to pipelined requests, which can't be sent before those in front of them, could hold all of it while these waited for it until their deadline.

Change: the largest answer above its share is given up, and the next one only if its release does not let the first in line go on. Answers behind others on a connection get no more while half of the memory is used.

--- a/internal/httpserver/answer.go
+++ b/internal/httpserver/answer.go
@@ -129,9 +129,10 @@
 		_ = c.nbc.Close()
 		return
 	}
-	own := r.WithContext(c.arrivalContext()) // the library uses r again
+	t := c.takeTurn()
+	own := r.WithContext(memory.WithTurn(c.arrivalContext(), t.before)) // the library uses r again
 	own.Body = io.NopCloser(bytes.NewReader(body))
-	go c.respond(own, c.takeTurn())
+	go c.respond(own, t)
 }
 
 // slowArrival is the time from which ArrivalTime tells how long a request took to arrive.
--- a/internal/memory/body.go
+++ b/internal/memory/body.go
@@ -4,6 +4,8 @@
 	"context"
 	"strings"
 	"sync"
+
+	"github.com/pkg/errors"
 )
 
 const (
@@ -26,6 +28,8 @@
 	chunks [][]byte
 	length int
 	held   int // bytes counted
+	// givenUp says that the budget waits for the release.
+	givenUp bool
 }
 
 // Len returns the number of bytes in the body. A nil body has none.
@@ -69,7 +73,8 @@
 }
 
 // Append adds bytes to the body. If that needs a chunk and the budget is used up, it waits
-// until the context ends or returns ErrUsedUp.
+// until the context ends or returns ErrUsedUp. With ErrUsedUp the body is to be released at
+// once: until then no other one is given up.
 func (b *Body) Append(ctx context.Context, data []byte) error {
 	for len(data) > 0 {
 		if len(b.Free()) == 0 {
@@ -88,6 +93,7 @@
 // Append does.
 func (b *Body) Hold(ctx context.Context, bytes int) error {
 	if err := b.budget.reserve(ctx, b.held, bytes); err != nil {
+		b.givenUp = b.held > 0 && errors.Is(err, ErrUsedUp)
 		return err
 	}
 	b.held += bytes
@@ -127,7 +133,7 @@
 	for _, c := range b.chunks {
 		recycle(c)
 	}
-	b.budget.release(b.held, true)
+	b.budget.release(b.held, true, b.givenUp)
 	*b = Body{budget: b.budget}
 }
 
@@ -168,7 +174,8 @@
 	}
 	c.Recycle()
 	c.body.held -= c.size
-	c.body.budget.release(c.size, c.body.held == 0)
+	last := c.body.held == 0
+	c.body.budget.release(c.size, last, last && c.body.givenUp)
 	c.body = nil
 }
 
--- a/internal/memory/fair.go
+++ b/internal/memory/fair.go
@@ -1,6 +1,7 @@
 package memory
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -13,10 +14,12 @@
 var ErrUsedUp = errors.New("the memory for answers is used up")
 
 // FairBudget bounds the bytes of the bodies that are held at the same time. The first chunk
-// of a body is always allowed. While the budget is used up, a body that would exceed its
-// equal share is given up, and the others wait for bytes that are freed. The bodies can't
-// all wait for each other: if none exceeds its share with the next chunk, one more chunk
-// fits. It is safe for concurrent use.
+// of a body is always allowed. While the budget is used up, bodies wait for bytes that are
+// freed, and of those that would exceed their share the largest is given up, one after the
+// other until the next in line gets its bytes. Bodies behind others on a connection, which
+// can't be sent yet, get no more while half of the budget is used, and the shares are those of
+// the other half. So the bodies can't all wait for each other: if none exceeds its share with
+// the next chunk, one more chunk fits. It is safe for concurrent use.
 type FairBudget struct {
 	limit int
 
@@ -25,12 +28,32 @@
 	peak    int
 	bodies  int       // that hold bytes
 	waiting []*waiter // the oldest first
+	// givingUp says that a body was given up and has not released its bytes yet.
+	givingUp bool
 }
 
 // waiter is a body that waits for bytes.
 type waiter struct {
 	held, bytes int
-	settled     chan error // gets one value: nil once the bytes are counted
+	turn        <-chan struct{} // closed once the body can be sent; nil if it can
+	settled     chan error      // gets one value: nil once the bytes are counted
+}
+
+// canBeSent reports whether nothing has to be sent before the body.
+func (w *waiter) canBeSent() bool {
+	select {
+	case <-w.turn:
+		return true
+	default:
+		return w.turn == nil
+	}
+}
+
+type turnKey struct{}
+
+// WithTurn returns a context for bodies that can't be sent before the channel is closed.
+func WithTurn(ctx context.Context, turn <-chan struct{}) context.Context {
+	return context.WithValue(ctx, turnKey{}, turn)
 }
 
 // NewFairBudget returns a budget with a limit in bytes.
@@ -68,6 +91,7 @@
 		return nil
 	}
 	w := &waiter{held: held, bytes: bytes, settled: make(chan error, 1)}
+	w.turn, _ = ctx.Value(turnKey{}).(<-chan struct{})
 	b.mu.Lock()
 	if held == 0 {
 		b.bodies++
@@ -82,13 +106,22 @@
 		err = b.wait(ctx, w)
 	}
 	if err != nil && held == 0 {
-		b.release(0, true)
+		b.release(0, true, errors.Is(err, ErrUsedUp))
 	}
 	return err
 }
 
 // wait waits until a waiter is settled or the context ends.
 func (b *FairBudget) wait(ctx context.Context, w *waiter) error {
+	select {
+	case err := <-w.settled:
+		return err
+	case <-w.turn:
+		b.mu.Lock()
+		b.settle()
+		b.mu.Unlock()
+	case <-ctx.Done():
+	}
 	select {
 	case err := <-w.settled:
 		return err
@@ -119,8 +152,9 @@
 	b.settle()
 }
 
-// release returns bytes to the budget; last says that their body holds no more.
-func (b *FairBudget) release(bytes int, last bool) {
+// release returns bytes to the budget; last says that their body holds no more, and givenUp
+// that it was given up.
+func (b *FairBudget) release(bytes int, last, givenUp bool) {
 	if b == nil {
 		return
 	}
@@ -129,6 +163,9 @@
 	if last {
 		b.bodies--
 	}
+	if givenUp {
+		b.givingUp = false
+	}
 	b.used -= bytes
 	b.settle()
 }
@@ -138,19 +175,33 @@
 	b.peak = max(b.peak, b.used)
 }
 
-// settle counts bytes for the waiting bodies, the oldest first, and gives up those above
-// their share if the next in line gets none.
+// settle counts bytes for the waiting bodies, the oldest first. If one that can be sent gets
+// none, it gives up the largest, if that is above its share.
 func (b *FairBudget) settle() {
-	for len(b.waiting) > 0 && b.used+b.waiting[0].bytes <= b.limit {
-		b.count(b.waiting[0].bytes)
-		b.waiting[0].settled <- nil
-		b.waiting = slices.Delete(b.waiting, 0, 1)
-	}
+	blocked := false
 	b.waiting = slices.DeleteFunc(b.waiting, func(w *waiter) bool {
-		if w.held+w.bytes <= b.limit/b.bodies {
-			return false
+		sendable := w.canBeSent()
+		limit := b.limit
+		if !sendable {
+			limit /= 2
 		}
-		w.settled <- ErrUsedUp
-		return true
+		if b.used+w.bytes <= limit && (!sendable || !blocked) {
+			b.count(w.bytes)
+			w.settled <- nil
+			return true
+		}
+		blocked = blocked || sendable
+		return false
 	})
+	if !blocked || b.givingUp {
+		return
+	}
+	largest := slices.MaxFunc(b.waiting, func(v, w *waiter) int { return cmp.Compare(v.held+v.bytes, w.held+w.bytes) })
+	if largest.held+largest.bytes <= b.limit/2/b.bodies {
+		return
+	}
+	b.givingUp = true
+	i := slices.Index(b.waiting, largest)
+	b.waiting = slices.Delete(b.waiting, i, i+1)
+	largest.settled <- ErrUsedUp
 }
