proof: Let fleets of gateway processes run beside each other

Tests of stops run several fleets at once, and need the logs of the gateways and the moment at which each process ended.

Result: TestFleetServesAroundAServerThatRefusesEverything uses the fleet as before.

--- a/proof/gateways_test.go
+++ b/proof/gateways_test.go
@@ -25,8 +25,33 @@
 // requests go to the host look.example, unsafe ones to book.example.
 type gatewayFleet struct {
 	hosts     []string
-	processes []*os.Process
+	processes []*gatewayProcess
 	servers   []*fake.Server
+	store     *fake.Store
+	logs      []string // the files that the gateways log to
+}
+
+// gatewayProcess is a running gateway.
+type gatewayProcess struct {
+	*os.Process
+	ended chan struct{} // closed when the process has ended
+	state *os.ProcessState
+	at    time.Time // when it ended
+}
+
+func startGatewayProcess(file string, log *os.File) (*gatewayProcess, error) {
+	process := exec.Command(binary, "gateway", "--settings", file) //nolint:gosec // the program under test
+	process.Stdout, process.Stderr = log, log
+	if err := process.Start(); err != nil {
+		return nil, err
+	}
+	p := &gatewayProcess{Process: process.Process, ended: make(chan struct{})}
+	go func() {
+		_ = process.Wait() // the state tells
+		p.state, p.at = process.ProcessState, time.Now()
+		close(p.ended)
+	}()
+	return p, nil
 }
 
 // gatewayFleetOptions configures a fleet; zero values stand for the defaults.
@@ -37,8 +62,11 @@
 	Slots int
 	// Work is how long a request runs. The default is 10 ms.
 	Work time.Duration
-	// Timeout is the time limit of a request. The default is 2 s.
+	// Timeout is the timeout of the routes. The default is 2 s.
 	Timeout time.Duration
+	// Index is the index of the first gateway's host; fleets that run side by side have
+	// different ones. The default is 500.
+	Index int
 }
 
 // startGatewayFleet starts a fleet and waits until all gateways are ready.
@@ -46,13 +74,14 @@
 	t.Helper()
 	store := fake.NewStore()
 	t.Cleanup(store.Close)
+	timeout := cmp.Or(o.Timeout, 2*time.Second)
 	store.Configure(1, []fake.Route{
-		{Host: "look", Service: "look", Safe: true, Timeout: cmp.Or(o.Timeout, 2*time.Second)},
-		{Host: "book", Service: "look", Timeout: cmp.Or(o.Timeout, 2*time.Second)},
+		{Host: "look", Service: "look", Safe: true, Timeout: timeout},
+		{Host: "book", Service: "look", Timeout: timeout},
 	})
-	f := &gatewayFleet{}
+	f := &gatewayFleet{store: store}
 	for i := range 3 {
-		f.hosts = append(f.hosts, standin.GatewayHost(500+i))
+		f.hosts = append(f.hosts, standin.GatewayHost(cmp.Or(o.Index, 500)+i))
 		s, err := fake.NewServer("127.0.0.1:0", fake.ServerOptions{ID: fmt.Sprintf("i-%d", i), Service: "look", Zone: fmt.Sprintf("z%d", i), Slots: cmp.Or(o.Slots, 12), Queue: 4, Work: cmp.Or(o.Work, 10*time.Millisecond)})
 		assert.NilError(t, err)
 		t.Cleanup(s.Close)
@@ -69,13 +98,12 @@
 		assert.NilError(t, settings.Write(file))
 		log, err := os.Create(filepath.Join(dir, fmt.Sprintf("g%d.log", i)))
 		assert.NilError(t, err)
-		process := exec.Command(binary, "gateway", "--settings", file) //nolint:gosec // the program under test
-		process.Stdout, process.Stderr = log, log
-		assert.NilError(t, process.Start())
-		f.processes = append(f.processes, process.Process)
+		process, err := startGatewayProcess(file, log)
+		assert.NilError(t, err)
+		f.processes, f.logs = append(f.processes, process), append(f.logs, log.Name())
 		t.Cleanup(func() {
-			_ = process.Process.Kill()
-			_ = process.Wait() // killed
+			_ = process.Kill()
+			<-process.ended
 			log.Close()
 		})
 	}
