--- a/Makefile
+++ b/Makefile
@@ -99,7 +99,7 @@
 	go build -tags defects -o $(BIN)/defects/ ./cmd/baobabstack
 	@for defect in gateway-resend-unsafe gateway-refuse-unknown gateway-ignore-leaving gateway-ignore-standing gateway-pass-cut-answers; do \
 		echo "== $$defect"; \
-		if $(BIN)/soak --binary $(BIN)/defects/baobabstack --defect $$defect --seconds 25 --seed 1 --seed 2 | grep -E '^(seed|VIOLATION)' | head -3; then :; fi; \
+		if $(BIN)/soak --binary $(BIN)/defects/baobabstack --defect $$defect --seconds 25 --seed 1@general --seed 2@general | grep -E '^(seed|VIOLATION)' | head -3; then :; fi; \
 	done
 
 .PHONY: scores
