--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -14,7 +14,6 @@
 
 	"github.com/baobabstack/baobabstack/internal/httpserver"
 	"github.com/baobabstack/baobabstack/internal/logs"
-	"github.com/baobabstack/baobabstack/internal/memory"
 	"github.com/baobabstack/baobabstack/internal/routing"
 	"github.com/baobabstack/baobabstack/internal/upstream"
 )
@@ -27,8 +26,6 @@
 	log          logs.Logger
 	metrics      *counters
 	splitCounter atomic.Uint64
-	answerBudget *memory.Budget
-	stop         stopState
 }
 
 // limits returns the limits on callers' requests from the current configuration, or no
@@ -65,11 +62,7 @@
 	req, a := h.newRequest(r, s, route, id, received)
 	if req != nil {
 		defer req.answers.release()
-		if h.stop.endsBefore(req, h.dispatcher.demand(req)) {
-			a = answer{status: http.StatusServiceUnavailable, reason: "stopping"}
-		} else {
-			a = h.dispatcher.dispatch(r.Context(), req)
-		}
+		a = h.dispatcher.dispatch(r.Context(), req)
 		h.recordAnswer(r.Context(), req, &a)
 	}
 	h.write(w, id, a)
@@ -98,7 +91,7 @@
 		},
 		received: received, deadline: received.Add(timeout), objectiveEnd: received.Add(route.Objective - waited),
 		trace:   &trace{arrival: httpserver.ArrivalTime(r.Context())},
-		answers: &answerMemory{budget: h.answerBudget},
+		answers: &answerBodies{},
 	}, answer{}
 }
 
@@ -168,7 +161,7 @@
 	}
 	h.metrics.countAnswer(a.status, now.Sub(r.received))
 	log := h.log
-	if stopping, ok := h.stop.since(r.received); ok {
+	if stopping, ok := h.dispatcher.stop.since(r.received); ok {
 		log = log.With("stopping", stopping.Round(time.Millisecond))
 	}
 	logRequest(log, r, a, now)
@@ -191,14 +184,11 @@
 		header.Set("Retry-After", strconv.FormatFloat(a.retryAfter.Seconds(), 'f', 3, 64))
 	}
 	w.WriteHeader(a.status)
-	_, _ = w.Write(a.body) // the listener buffers the answer, so this can't fail
+	httpserver.SendBody(w, a.body.Move())
 }
 
 func newHandler(o *Options, m *counters) *handler {
-	h := &handler{
-		options: o, current: newLatestSnapshot(o.started), log: logs.For("gateway"), metrics: m,
-		answerBudget: memory.NewBudget(answerMemoryBytes(o.Settings.VM.MemoryMB)),
-	}
+	h := &handler{options: o, current: newLatestSnapshot(o.started), log: logs.For("gateway"), metrics: m}
 	h.splitCounter.Store(rand.Uint64N(1 << 20))
 	h.dispatcher = &dispatcher{options: o, metrics: m, routes: make(map[string]*routeState)}
 	return h
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -34,6 +34,7 @@
 	pending []request       // parsed and not answered, oldest first
 	arrived []time.Duration // how long each request took to arrive that has no turn yet
 	timer   *time.Timer
+	idle    *time.Timer     // runs while no request has begun and none is unanswered
 	tail    <-chan struct{} // closed when the last answer so far is sent
 	heardAt time.Time       // when the caller last sent something on a connection that takes no more requests
 }
@@ -69,6 +70,9 @@
 	defer c.mu.Unlock()
 	c.guard.done = true
 	c.stopTimer()
+	if c.idle != nil {
+		c.idle.Stop()
+	}
 	c.guard.parser.CloseAndClean(err)
 	c.server.budget.Release(c.guard.body)
 	c.guard.body = 0
@@ -107,8 +111,40 @@
 	c.server.budget.Release(c.pending[0].body)
 	c.server.busy.Add(-1)
 	c.pending = c.pending[1:]
-	if len(c.pending) == 0 && !c.guard.started() && !c.guard.done {
-		_ = c.nbc.SetReadDeadline(time.Now().Add(c.server.limits().IdleTimeout))
+	c.watchIdle()
+}
+
+// isIdle reports whether no request has begun and none is unanswered, on a connection that
+// takes requests.
+func (c *conn) isIdle() bool {
+	return len(c.pending) == 0 && !c.guard.started() && !c.guard.done
+}
+
+// watchIdle bounds the time until the next request on an idle connection. The connection's
+// lock must be held.
+func (c *conn) watchIdle() {
+	if !c.isIdle() {
+		return
+	}
+	if c.idle == nil {
+		c.idle = time.AfterFunc(c.server.limits().IdleTimeout, c.endIdle)
+		return
+	}
+	c.idle.Reset(c.server.limits().IdleTimeout)
+}
+
+// endIdle closes the connection at the end of its idle time, unless a request or an answer
+// is on its way.
+func (c *conn) endIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case !c.isIdle() || c.ctx.Err() != nil:
+	case c.wire.inTransit():
+		c.idle.Reset(lingerInterval)
+	default:
+		c.guard.done = true
+		_ = c.nbc.Close()
 	}
 }
 
@@ -124,7 +160,7 @@
 func (c *conn) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.pending) > 0 || c.guard.started() || c.guard.done || c.wire.unsent() > 0 || c.wire.unacknowledged() > 0 {
+	if !c.isIdle() || c.wire.inTransit() {
 		return
 	}
 	c.guard.done = true
@@ -157,30 +193,52 @@
 	return true
 }
 
-// send writes a whole answer and waits until the caller has taken it, so that a
-// connection holds one unsent answer at most. The last answer ends the
-// connection, once it is sent.
-func (c *conn) send(data []byte, last bool) {
-	c.server.budget.Add(len(data))
-	defer c.server.budget.Release(len(data))
+// send sends an answer and waits until the caller has taken it. It writes the answer in
+// pieces, each when the one before is sent, so that the engine queues one piece at most. The
+// last answer ends the connection, once it is sent. An answer that can't be sent in full
+// closes it.
+func (c *conn) send(a *answer, method string, last bool) {
+	collected := a.body.Len()
+	c.server.budget.Add(collected)
+	defer c.server.budget.Release(collected)
+	timer := time.NewTimer(c.server.options.WriteTimeout)
+	defer timer.Stop()
+	p := a.first(method, last)
+	for {
+		end := a.left() == 0
+		if !c.sendPiece(&p, last && end, timer.C) {
+			_ = c.nbc.Close()
+			return
+		}
+		if end {
+			break
+		}
+		p = a.next()
+	}
+	if last {
+		c.linger(time.Now())
+	}
+}
+
+// sendPiece writes a piece of an answer and waits until it is sent; last says that nothing
+// follows on the connection. It reports false if the timeout or the connection ends first.
+func (c *conn) sendPiece(p *piece, last bool, timeout <-chan time.Time) bool {
+	defer p.chunk.Release()
 	if last && c.tls == nil {
 		c.wire.last.Store(true)
 	}
-	if _, err := c.Write(data); err != nil {
-		_ = c.nbc.Close()
-		return
+	if _, err := c.Write(p.data); err != nil {
+		return false
 	}
+	p.chunk.Recycle() // the engine has a copy of what the socket didn't take
 	if last && c.tls != nil {
 		c.wire.last.Store(true)
 		_ = c.tls.CloseWrite()
 	}
-	if last && defect.On("close-unsent") || !c.waitSent() {
-		_ = c.nbc.Close()
-		return
-	}
-	if last {
-		c.linger(time.Now())
+	if last && defect.On("close-unsent") {
+		return false
 	}
+	return c.waitSent(timeout)
 }
 
 // linger closes a connection after its last answer, if the caller doesn't. A caller that goes
@@ -206,18 +264,13 @@
 	})
 }
 
-// waitSent waits until no byte is unsent. It reports false if that takes too
-// long or the connection ends.
-func (c *conn) waitSent() bool {
-	if c.wire.unsent() == 0 {
-		return true
-	}
-	timer := time.NewTimer(c.server.options.WriteTimeout)
-	defer timer.Stop()
+// waitSent waits until no byte is unsent. It reports false if the timeout or the
+// connection ends first.
+func (c *conn) waitSent(timeout <-chan time.Time) bool {
 	for c.wire.unsent() > 0 {
 		select {
 		case <-c.wire.drained:
-		case <-timer.C:
+		case <-timeout:
 			return false
 		case <-c.ctx.Done():
 			return false
@@ -248,10 +301,20 @@
 
 func (w *wire) unsent() int64 { return w.queued.Load() - w.written.Load() }
 
+// inTransit reports whether bytes are on their way: those of an answer that the peer has not
+// acknowledged, or those of a request that has arrived and is not read.
+func (w *wire) inTransit() bool {
+	return w.unsent() > 0 || w.unacknowledged() > 0 || w.queuedBytes(unix.TIOCINQ) > 0
+}
+
 // unacknowledged returns the number of bytes that the kernel has taken and the peer has not
-// acknowledged. It is 0 if the kernel doesn't tell.
-func (w *wire) unacknowledged() int {
-	n, err := unix.IoctlGetInt(w.Hash(), unix.TIOCOUTQ)
+// acknowledged.
+func (w *wire) unacknowledged() int { return w.queuedBytes(unix.TIOCOUTQ) }
+
+// queuedBytes returns the number of bytes in one of the socket's queues, 0 if the kernel
+// doesn't tell.
+func (w *wire) queuedBytes(queue uint) int {
+	n, err := unix.IoctlGetInt(w.Hash(), queue)
 	if err != nil {
 		return 0
 	}
