--- a/internal/standin/link_test.go
+++ b/internal/standin/link_test.go
@@ -48,6 +48,7 @@
 		if err != nil {
 			return
 		}
+		_, _ = c.Read(make([]byte, 1)) // the caller's dial is over then
 		_ = c.(*net.TCPConn).SetLinger(0)
 		_ = c.Close()
 	}()
@@ -57,6 +58,8 @@
 	c, err := net.Dial("tcp", link.Address)
 	assert.NilError(t, err)
 	defer c.Close()
+	_, err = c.Write([]byte("x"))
+	assert.NilError(t, err)
 	_, err = io.ReadAll(c)
 	assert.ErrorContains(t, err, "reset")
 }
