httpserver: Bound the wait for the engine by what a stop leaves

What callers saw: nothing; their connections were closed. The process lived on past its grace period, so that the platform had to kill it.

Cause: after the connections are closed, a stop waits for the engine for 2 s at most, as a poller of the library sometimes misses its wake-up. A gateway that uses its time until 0.95 of a grace period of 6 s has 0.3 s left. Seen on a machine with a load of 109 on 8 cores: "metrics: the engine did not stop in 2s", and the process ended 7.66 s after SIGTERM.

Change: the wait is 0.2 s at most.

Result: TestStopDoesNotWaitLongForTheEngine failed before (2.00 s) and passes.

--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -60,7 +60,9 @@
 	lingerTimeout  = 2 * time.Second
 	lingerInterval = lingerTimeout / 8
 	acceptPause    = 50 * time.Millisecond
-	stopTimeout    = 2 * time.Second
+	// stopTimeout bounds the wait for the engine, which comes after the end of a process's
+	// drain and must fit into what is left of its grace period.
+	stopTimeout = 200 * time.Millisecond
 
 	maxHeadBytes   = 32 << 10
 	maxHeaders     = 100
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -27,3 +27,15 @@
 		}
 	}
 }
+
+// Guards against a process that outlives its grace period: its connections were closed, but
+// it waited for an engine whose poller had missed its wake-up.
+func TestStopDoesNotWaitLongForTheEngine(t *testing.T) {
+	s, err := Start(Options{Name: "test", Address: "127.0.0.1:0", Handler: http.NotFoundHandler()})
+	assert.NilError(t, err)
+	s.engine.Add(1) // as a poller that doesn't end
+	defer s.engine.Done()
+	begin := time.Now()
+	s.Stop()
+	assert.Assert(t, time.Since(begin) < time.Second, "%s", time.Since(begin))
+}
