gateway: Count servers' answers until callers have read them

What operators saw: one server of three that sends without end took gateways past their VM's memory, which ends the process and every request in it. Callers that read large answers slowly did the same.

Cause: the bytes of an answer were counted until the handler returned, but the answer lived on and was copied at each step: a doubling buffer while it was read, a buffer of the listener, the written answer, and the engine's queue. Answers that waited for their turn on a connection, or for a slow reader, were not counted at all. Heads of up to 64 KB and the bodies of health checks were never counted.

Change: an answer is read into chunks (memory.Body), which are counted before they are allocated, not copied as they grow, handed to the listener with the answer, written one at a time when the one before is sent, and released when the caller has taken them. Heads over 4 KB count too; bodies of health checks are not kept. When the memory is used up, answers wait for what is freed until their deadline, and the largest above their share are given up one after the other (memory.FairBudget).

Tests that changed with the interface: TestBytesWithoutEndEndTheAttempt checks the peak of the budget, which includes the first 4 KB and large heads now, in whole chunks, and that nothing is left; TestLargeAnswerWithoutMemoryIsGivenUp uses a budget that is used up in place of a function that says so, and 4096 bytes in place of 4095; TestMemoryOfAnEndedRequestIsReturned adds a body after the end in place of a count. The others only convert the body to a string.

--- a/internal/gateway/answers_test.go
+++ b/internal/gateway/answers_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -8,15 +9,26 @@
 	"github.com/baobabstack/baobabstack/internal/memory"
 )
 
-// A send that lost against a hedge goes on reading for a moment. What it reserves after the
+// A send that lost against a hedge goes on reading for a moment. What it has read after the
 // request has ended would never be returned.
 func TestMemoryOfAnEndedRequestIsReturned(t *testing.T) {
-	budget := memory.NewBudget(100)
-	m := &answerMemory{budget: budget}
-	assert.Assert(t, m.reserve(60))
-	assert.Assert(t, !m.reserve(60))
-	m.release()
+	budget := memory.NewFairBudget(1 << 20)
+	body := func() *memory.Body {
+		b := budget.NewBody()
+		assert.NilError(t, b.Append(context.Background(), make([]byte, 60<<10)))
+		return b
+	}
+	var bodies answerBodies
+	answer, lost := body(), body()
+	bodies.add(answer)
+	bodies.add(lost)
+	bodies.add(nil) // a send without an answer
+	each := budget.Used() / 2
+	sent := answer.Move()
+	bodies.release()
+	assert.Equal(t, budget.Used(), each, "the answer to the caller is still held")
+	sent.Release()
 	assert.Equal(t, budget.Used(), 0)
-	assert.Assert(t, !m.reserve(10))
+	bodies.add(body())
 	assert.Equal(t, budget.Used(), 0)
 }
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/baobabstack/baobabstack/internal/defect"
+	"github.com/baobabstack/baobabstack/internal/memory"
 	"github.com/baobabstack/baobabstack/internal/placement"
 	"github.com/baobabstack/baobabstack/internal/routing"
 	"github.com/baobabstack/baobabstack/internal/upstream"
@@ -28,14 +29,14 @@
 	// caller's first attempt, which may have been sent to another gateway.
 	objectiveEnd time.Time
 	trace        *trace
-	answers      *answerMemory
+	answers      *answerBodies
 }
 
 // answer is the response to the caller. The reason is only logged.
 type answer struct {
 	status     int
 	header     http.Header
-	body       []byte
+	body       *memory.Body
 	retryAfter time.Duration
 	reason     string
 }
@@ -182,8 +183,10 @@
 	d.metrics.sends.Inc()
 	begin := time.Now()
 	call := r.call
-	call.Deadline, call.Reserve = r.deadline, r.answers.reserve
+	call.Deadline = r.deadline
 	result := ls.lease.Send(ctx, &call)
+	r.answers.add(result.Body)
+	d.metrics.countGivenUp(&result)
 	d.recordResult(ctx, r, ls, &result, time.Since(begin))
 	d.offerToQueue(r.service, ls, &result)
 	return result
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -12,7 +12,6 @@
 
 	"github.com/baobabstack/baobabstack/internal/httpserver"
 	"github.com/baobabstack/baobabstack/internal/logs"
-	"github.com/baobabstack/baobabstack/internal/memory"
 	"github.com/baobabstack/baobabstack/internal/routing"
 	"github.com/baobabstack/baobabstack/internal/upstream"
 )
@@ -25,7 +24,6 @@
 	log          logs.Logger
 	metrics      *counters
 	splitCounter atomic.Uint64
-	answerBudget *memory.Budget
 	stop         stopState
 }
 
@@ -92,7 +90,7 @@
 		},
 		received: received, deadline: received.Add(timeout), objectiveEnd: received.Add(route.Objective - waited),
 		trace:   &trace{arrival: httpserver.ArrivalTime(r.Context())},
-		answers: &answerMemory{budget: h.answerBudget},
+		answers: &answerBodies{},
 	}, answer{}
 }
 
@@ -185,14 +183,11 @@
 		header.Set("Retry-After", strconv.FormatFloat(a.retryAfter.Seconds(), 'f', 3, 64))
 	}
 	w.WriteHeader(a.status)
-	_, _ = w.Write(a.body) // the listener buffers the answer, so this can't fail
+	httpserver.SendBody(w, a.body.Move())
 }
 
 func newHandler(o *Options, m *counters) *handler {
-	h := &handler{
-		options: o, current: newLatestSnapshot(o.started), log: logs.For("gateway"), metrics: m,
-		answerBudget: memory.NewBudget(answerMemoryBytes(o.Settings.VM.MemoryMB)),
-	}
+	h := &handler{options: o, current: newLatestSnapshot(o.started), log: logs.For("gateway"), metrics: m}
 	h.splitCounter.Store(rand.Uint64N(1 << 20))
 	h.dispatcher = &dispatcher{options: o, metrics: m, routes: make(map[string]*routeState)}
 	return h
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -17,6 +17,7 @@
 	hedges           *metrics.Counter
 	unansweredChecks *metrics.Counter
 	overBudgetChecks *metrics.Counter
+	givenUpAnswers   *metrics.Counter
 	requestSeconds   *metrics.Histogram
 }
 
@@ -26,6 +27,7 @@
 		hedges:           metrics.GetOrCreateCounter("baobabstack_gateway_hedges_total"),
 		unansweredChecks: metrics.GetOrCreateCounter("baobabstack_gateway_unanswered_health_checks_total"),
 		overBudgetChecks: metrics.GetOrCreateCounter("baobabstack_gateway_health_checks_over_budget_total"),
+		givenUpAnswers:   metrics.GetOrCreateCounter("baobabstack_gateway_answers_given_up_for_memory_total"),
 		requestSeconds:   metrics.GetOrCreateHistogram("baobabstack_gateway_request_seconds"),
 	}
 }
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -12,6 +12,7 @@
 
 	"github.com/baobabstack/baobabstack/internal/defect"
 	"github.com/baobabstack/baobabstack/internal/discovery"
+	"github.com/baobabstack/baobabstack/internal/memory"
 	"github.com/baobabstack/baobabstack/internal/placement"
 	"github.com/baobabstack/baobabstack/internal/routing"
 	"github.com/baobabstack/baobabstack/internal/upstream"
@@ -60,6 +61,7 @@
 // registry builds snapshots. Only the control goroutine uses it.
 type registry struct {
 	options  *Options
+	answers  *memory.FairBudget // for the answers of all servers
 	targets  map[string]*target
 	services map[string]*serviceState
 	// standings holds what each run of a server has asked for.
@@ -67,7 +69,7 @@
 }
 
 func newRegistry(o *Options) *registry {
-	return &registry{options: o, targets: make(map[string]*target), services: make(map[string]*serviceState), standings: make(map[serverRun]*keptStanding)}
+	return &registry{options: o, answers: newAnswerBudget(o.Settings.VM.MemoryMB), targets: make(map[string]*target), services: make(map[string]*serviceState), standings: make(map[serverRun]*keptStanding)}
 }
 
 // build returns the snapshot of a view. It closes the connections to servers that are no
@@ -151,7 +153,8 @@
 	} else {
 		t.server = upstream.NewServer(upstream.Options{
 			ID: info.ID, Address: info.Address, HealthPath: configured.HealthPath,
-			MaxBodyBytes: maxAnswerBytes(r.options.MaxBodyBytes, r.options.Settings.VM.MemoryMB), Dialect: r.options.Dialect, Standing: standing,
+			MaxBodyBytes: maxAnswerBytes(r.options.MaxBodyBytes, r.options.Settings.VM.MemoryMB), Memory: r.answers,
+			Dialect: r.options.Dialect, Standing: standing,
 		})
 		t.health = &health{}
 		t.checkOrder = r.checkOrder(info.ID)
--- a/internal/httpserver/answer.go
+++ b/internal/httpserver/answer.go
@@ -12,14 +12,17 @@
 
 	"github.com/baobabstack/baobabstack/internal/call"
 	"github.com/baobabstack/baobabstack/internal/logs"
+	"github.com/baobabstack/baobabstack/internal/memory"
 	"github.com/baobabstack/baobabstack/internal/policy/outcome"
 )
 
-// answer collects a handler's answer, which is then written at once.
+// answer collects a handler's answer, which is sent when the handler has returned.
 type answer struct {
 	header http.Header
 	status int
 	body   bytes.Buffer
+	// chunks follow what was written to body.
+	chunks *memory.Body
 }
 
 // Header returns the headers to be sent.
@@ -38,8 +41,26 @@
 	return a.body.Write(b)
 }
 
-// bytes returns the answer as sent to a request of the given method.
-func (a *answer) bytes(method string, last bool) []byte {
+// SendBody makes a body the end of a handler's answer. The body is released chunk by chunk
+// as the caller takes it; it must not be used any more.
+func SendBody(w http.ResponseWriter, body *memory.Body) {
+	if a, ok := w.(*answer); ok && a.chunks == nil {
+		a.chunks = body
+		return
+	}
+	defer body.Release()
+	for {
+		chunk, ok := body.Pop()
+		if !ok {
+			return
+		}
+		_, _ = w.Write(chunk.Data) // no listener of this package, or one that collects the answer
+		chunk.Release()
+	}
+}
+
+// head returns the status line and the headers.
+func (a *answer) head(last bool) []byte {
 	a.WriteHeader(http.StatusOK)
 	if a.header.Get("Date") == "" {
 		a.header.Set("Date", time.Now().UTC().Format(http.TimeFormat))
@@ -47,14 +68,54 @@
 	a.header.Del("Content-Length")
 	res := http.Response{
 		StatusCode: a.status, ProtoMajor: 1, ProtoMinor: 1, Header: a.header, Close: last,
-		Body: io.NopCloser(&a.body), ContentLength: int64(a.body.Len()),
-		Request: &http.Request{Method: method},
+		Body: http.NoBody, ContentLength: int64(a.body.Len() + a.chunks.Len()),
+		Request: &http.Request{Method: http.MethodHead}, // so that the body is left out
 	}
 	var out bytes.Buffer
 	_ = res.Write(&out)
 	return out.Bytes()
 }
 
+// pieceBytes is the most of an answer that is handed to the engine at a time. The engine
+// copies what the socket doesn't take.
+const pieceBytes = 32 << 10
+
+// piece is a part of an answer.
+type piece struct {
+	data  []byte
+	chunk memory.Chunk // that holds the data; zero if there is none
+}
+
+// first returns the head, with the first part of the body if both are small. The answer to
+// HEAD has no more.
+func (a *answer) first(method string, last bool) piece {
+	p := piece{data: a.head(last)}
+	if method == http.MethodHead {
+		a.body.Reset()
+		a.release()
+	}
+	if a.left() == 0 || len(p.data) > pieceBytes {
+		return p
+	}
+	body := a.next()
+	return piece{data: append(p.data, body.data...), chunk: body.chunk}
+}
+
+// next returns the next part of the body, which must not be at its end.
+func (a *answer) next() piece {
+	if a.body.Len() > 0 {
+		return piece{data: a.body.Next(pieceBytes)}
+	}
+	chunk, _ := a.chunks.Pop()
+	return piece{data: chunk.Data, chunk: chunk}
+}
+
+// left returns how many bytes of the body are not handed out yet.
+func (a *answer) left() int { return a.body.Len() + a.chunks.Len() }
+
+// release frees what was not sent.
+func (a *answer) release() { a.chunks.Release() }
+
 // serve starts the handler of a parsed request in a goroutine of its own, so that
 // pipelined requests run side by side; their answers are sent in order. It takes
 // the connection from the library, because that would close it with an answer
@@ -68,9 +129,10 @@
 		_ = c.nbc.Close()
 		return
 	}
-	own := r.WithContext(c.arrivalContext()) // the library uses r again
+	t := c.takeTurn()
+	own := r.WithContext(memory.WithTurn(c.arrivalContext(), t.before)) // the library uses r again
 	own.Body = io.NopCloser(bytes.NewReader(body))
-	go c.respond(own, c.takeTurn())
+	go c.respond(own, t)
 }
 
 // slowArrival is the time from which ArrivalTime tells how long a request took to arrive.
@@ -104,6 +166,7 @@
 func (c *conn) respond(r *http.Request, t turn) {
 	defer t.end()
 	a := &answer{header: make(http.Header)}
+	defer a.release()
 	c.run(a, r)
 	t.wait()
 	req, ok := c.next()
@@ -112,7 +175,7 @@
 	}
 	defer c.answered()
 	last := c.endsWith(req)
-	c.send(a.bytes(r.Method, last), last)
+	c.send(a, r.Method, last)
 }
 
 // turn is a place in the order of a connection's answers.
@@ -140,6 +203,7 @@
 	defer func() {
 		if cause := recover(); cause != nil {
 			log.Errorf("%s %s: panic: %v\n%s", r.Method, r.URL.Path, cause, debug.Stack())
+			a.release()
 			*a = *refused(call.Refusal(outcome.Unknown, http.StatusInternalServerError, "internal", 0))
 		}
 	}()
@@ -157,10 +221,10 @@
 	return a
 }
 
-func refusalBytes(r *refusal, o outcome.Outcome) []byte {
+func refusalAnswer(r *refusal, o outcome.Outcome) *answer {
 	var retryAfter time.Duration
 	if r.status == http.StatusServiceUnavailable {
 		retryAfter = time.Second
 	}
-	return refused(call.Refusal(o, r.status, r.reason, retryAfter)).bytes(http.MethodGet, true)
+	return refused(call.Refusal(o, r.status, r.reason, retryAfter))
 }
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -143,30 +143,52 @@
 	return true
 }
 
-// send writes a whole answer and waits until the caller has taken it, so that a
-// connection holds one unsent answer at most. The last answer ends the
-// connection, once it is sent.
-func (c *conn) send(data []byte, last bool) {
-	c.server.budget.Add(len(data))
-	defer c.server.budget.Release(len(data))
+// send sends an answer and waits until the caller has taken it. It writes the answer in
+// pieces, each when the one before is sent, so that the engine queues one piece at most. The
+// last answer ends the connection, once it is sent. An answer that can't be sent in full
+// closes it.
+func (c *conn) send(a *answer, method string, last bool) {
+	collected := a.body.Len()
+	c.server.budget.Add(collected)
+	defer c.server.budget.Release(collected)
+	timer := time.NewTimer(c.server.options.WriteTimeout)
+	defer timer.Stop()
+	p := a.first(method, last)
+	for {
+		end := a.left() == 0
+		if !c.sendPiece(&p, last && end, timer.C) {
+			_ = c.nbc.Close()
+			return
+		}
+		if end {
+			break
+		}
+		p = a.next()
+	}
+	if last {
+		c.linger(time.Now())
+	}
+}
+
+// sendPiece writes a piece of an answer and waits until it is sent; last says that nothing
+// follows on the connection. It reports false if the timeout or the connection ends first.
+func (c *conn) sendPiece(p *piece, last bool, timeout <-chan time.Time) bool {
+	defer p.chunk.Release()
 	if last && c.tls == nil {
 		c.wire.last.Store(true)
 	}
-	if _, err := c.Write(data); err != nil {
-		_ = c.nbc.Close()
-		return
+	if _, err := c.Write(p.data); err != nil {
+		return false
 	}
+	p.chunk.Recycle() // the engine has a copy of what the socket didn't take
 	if last && c.tls != nil {
 		c.wire.last.Store(true)
 		_ = c.tls.CloseWrite()
 	}
-	if last && defect.On("close-unsent") || !c.waitSent() {
-		_ = c.nbc.Close()
-		return
-	}
-	if last {
-		c.linger(time.Now())
+	if last && defect.On("close-unsent") {
+		return false
 	}
+	return c.waitSent(timeout)
 }
 
 // linger closes a connection after its last answer, if the caller doesn't. A caller that goes
@@ -192,18 +214,13 @@
 	})
 }
 
-// waitSent waits until no byte is unsent. It reports false if that takes too
-// long or the connection ends.
-func (c *conn) waitSent() bool {
-	if c.wire.unsent() == 0 {
-		return true
-	}
-	timer := time.NewTimer(c.server.options.WriteTimeout)
-	defer timer.Stop()
+// waitSent waits until no byte is unsent. It reports false if the timeout or the
+// connection ends first.
+func (c *conn) waitSent(timeout <-chan time.Time) bool {
 	for c.wire.unsent() > 0 {
 		select {
 		case <-c.wire.drained:
-		case <-timer.C:
+		case <-timeout:
 			return false
 		case <-c.ctx.Done():
 			return false
--- a/internal/httpserver/guard.go
+++ b/internal/httpserver/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net/http"
 	"time"
 
 	"github.com/lesismal/nbio/nbhttp"
@@ -192,7 +193,7 @@
 		defer t.end()
 		t.wait()
 		if _, ok := c.next(); ok {
-			c.send(refusalBytes(r, claim), true)
+			c.send(refusalAnswer(r, claim), http.MethodGet, true)
 			c.answered()
 		}
 	})
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -14,18 +14,18 @@
 	"github.com/pkg/errors"
 
 	"github.com/baobabstack/baobabstack/internal/defect"
+	"github.com/baobabstack/baobabstack/internal/memory"
 )
 
 const (
 	// maxHeadBytes limits the head of each answer, interim answers included, and what
 	// frames its body beside the body itself.
 	maxHeadBytes = 64 << 10
+	// largeHeadMemory is counted for a head that exceeds the read buffer: its lines, and the
+	// header made of them.
+	largeHeadMemory = 2 * maxHeadBytes
 	// maxCheckBodyBytes limits the body of an answer to a health check.
 	maxCheckBodyBytes = 64 << 10
-	// minBodyBuffer is the first size of the buffer for a body. It grows with the bytes
-	// that arrive, whatever length the server states. Only the growth is reserved, so
-	// that a few large answers don't keep small ones out.
-	minBodyBuffer = 4 << 10
 	// maxAnswersRead limits the answers read for one request. Interim answers and late
 	// answers to other requests count too.
 	maxAnswersRead = 8
@@ -42,7 +42,6 @@
 var (
 	errTooLarge       = errors.New("the answer's body exceeds max_body_bytes")
 	errHeadTooLarge   = errors.Errorf("the answer's head exceeds %d bytes", maxHeadBytes)
-	errNoMemory       = errors.New("the memory for answers is used up")
 	errTooManySkipped = errors.New("too many interim answers or answers to other calls")
 	errUpgrade        = errors.New("the server switched protocols, which was not requested")
 	errClosedEarly    = errors.New("the connection was closed before the answer")
@@ -51,10 +50,13 @@
 // conn is one connection to a server. It carries one call at a time.
 type conn struct {
 	raw     net.Conn
-	limited io.LimitedReader
+	limited limitedReader
 	reader  *bufio.Reader
+	probe   [1]byte
 	// usedAt is when the last answer was read, or the connection was opened.
 	usedAt time.Time
+	// deadline is that of the last request.
+	deadline time.Time
 	// fresh says that the connection has carried no request yet.
 	fresh bool
 	// keep says that the connection can be reused after the last answer.
@@ -73,7 +75,7 @@
 		return nil, errors.Wrapf(err, "connect to %s", address)
 	}
 	c := &conn{raw: raw, fresh: true, usedAt: time.Now()}
-	c.limited.R = raw
+	c.limited.raw = raw
 	c.reader = bufio.NewReaderSize(&c.limited, readBufferBytes)
 	return c, nil
 }
@@ -91,16 +93,42 @@
 	return sockErr
 }
 
+// limitedReader reads from a connection up to a limit.
+type limitedReader struct {
+	raw  io.Reader
+	left int
+	// beyondBuffer is called before a head is read on that exceeds the read buffer; nil for
+	// nothing.
+	beyondBuffer func() error
+}
+
+// Read reads up to the limit, and fails with the error of beyondBuffer.
+func (r *limitedReader) Read(b []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, io.EOF
+	}
+	if r.beyondBuffer != nil && r.left <= maxHeadBytes-readBufferBytes {
+		if err := r.beyondBuffer(); err != nil {
+			return 0, err
+		}
+		r.beyondBuffer = nil
+	}
+	n, err := r.raw.Read(b[:min(len(b), r.left)])
+	r.left -= n
+	return n, err
+}
+
 // response is an answer read from a connection.
 type response struct {
 	status int
 	header http.Header
-	body   []byte
+	body   *memory.Body
+	close  bool // the connection ends with the answer
 }
 
 // write sends a request and returns the number of bytes that the kernel accepted.
 func (c *conn) write(data []byte, deadline time.Time) (int, error) {
-	c.keep, c.fresh = false, false
+	c.keep, c.fresh, c.deadline = false, false, deadline
 	if err := c.raw.SetDeadline(deadline); err != nil {
 		return 0, errors.WithStack(err)
 	}
@@ -112,59 +140,76 @@
 type answerLimits struct {
 	// bodyBytes is the largest body.
 	bodyBytes int
-	// reserve is asked for memory before the buffer of a body grows by that many bytes;
-	// nil allows all.
-	reserve func(bytes int) bool
+	// memory counts the bytes of answers; nil counts nothing.
+	memory *memory.FairBudget
+	// discard says that bodies are read and not kept.
+	discard bool
 	// observe is called with the head of each answer before its body is read; nil for none.
 	observe func(status int, h http.Header)
 }
 
 // read returns the answer to the last request. It skips interim answers, and answers for
 // which matches returns false. It stops reading at the limits, so that a server that
-// sends without end costs no more than the largest answer.
-func (c *conn) read(method string, limits answerLimits, matches func(status int, h http.Header) bool) (response, error) {
-	request := &http.Request{Method: method}
+// sends without end costs no more than the largest answer. It waits for memory until the
+// context ends.
+func (c *conn) read(ctx context.Context, method string, limits answerLimits, matches func(status int, h http.Header) bool) (response, error) {
 	for range maxAnswersRead {
-		c.limited.N = maxHeadBytes
-		res, err := http.ReadResponse(c.reader, request)
-		if err != nil {
-			if c.limited.N <= 0 {
-				err = errHeadTooLarge
-			}
-			return response{}, errors.Wrap(err, "read the answer")
-		}
-		if limits.observe != nil {
-			limits.observe(res.StatusCode, res.Header)
-		}
-		c.limited.N = int64(limits.bodyBytes) + maxHeadBytes
-		body, err := readBody(res, limits)
-		if err != nil {
-			c.limited.N = 0 // Close would read the rest of the body
-		}
-		_ = res.Body.Close()
+		res, err := c.readAnswer(ctx, method, limits)
 		switch {
 		case err != nil:
-			return response{}, err
-		case res.StatusCode == http.StatusSwitchingProtocols:
-			return response{}, errors.WithStack(errUpgrade)
-		case res.StatusCode < http.StatusOK:
+		case res.status == http.StatusSwitchingProtocols:
+			err = errors.WithStack(errUpgrade)
+		case res.status < http.StatusOK:
+			res.body.Release()
 			continue
-		case !matches(res.StatusCode, res.Header):
-			if res.Close {
-				return response{}, errors.WithStack(errClosedEarly)
+		case !matches(res.status, res.header):
+			if !res.close {
+				res.body.Release()
+				continue
 			}
-			continue
+			err = errors.WithStack(errClosedEarly)
+		}
+		if err != nil {
+			res.body.Release()
+			return response{}, err
 		}
 		c.recordResponse(res)
-		return response{status: res.StatusCode, header: res.Header, body: body}, nil
+		return res, nil
 	}
 	return response{}, errors.WithStack(errTooManySkipped)
 }
 
-func (c *conn) recordResponse(res *http.Response) {
+// readAnswer reads one answer, which may be an interim one. With an error, only the body of
+// what it returns is set.
+func (c *conn) readAnswer(ctx context.Context, method string, limits answerLimits) (response, error) {
+	body := limits.memory.NewBody()
+	c.limited.left = maxHeadBytes
+	c.limited.beyondBuffer = func() error { return c.holdLargeHead(ctx, body) }
+	res, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	c.limited.beyondBuffer = nil
+	if err != nil {
+		if c.limited.left <= 0 {
+			err = errHeadTooLarge
+		}
+		return response{body: body}, errors.Wrap(err, "read the answer")
+	}
+	if limits.observe != nil {
+		limits.observe(res.StatusCode, res.Header)
+	}
+	c.limited.left = limits.bodyBytes + maxHeadBytes
+	if err := c.readBody(ctx, res, limits, body); err != nil {
+		c.limited.left = 0 // Close would read the rest of the body
+		_ = res.Body.Close()
+		return response{body: body}, err
+	}
+	_ = res.Body.Close()
+	return response{status: res.StatusCode, header: res.Header, body: body, close: res.Close}, nil
+}
+
+func (c *conn) recordResponse(res response) {
 	c.usedAt = time.Now()
-	c.keep = !res.Close && c.reader.Buffered() == 0
-	if stated, ok := keepAlive(res.Header.Get("Keep-Alive")); ok {
+	c.keep = !res.close && c.reader.Buffered() == 0
+	if stated, ok := keepAlive(res.header.Get("Keep-Alive")); ok {
 		c.keepAliveTimeout = stated
 	}
 }
@@ -184,45 +229,56 @@
 	return true
 }
 
-// readBody returns the whole body, or an error if it is incomplete, exceeds the limits or
-// finds no memory.
-func readBody(res *http.Response, limits answerLimits) ([]byte, error) {
+// holdLargeHead counts the memory of a large head. It waits until the deadline of the request
+// at most.
+func (c *conn) holdLargeHead(ctx context.Context, body *memory.Body) error {
+	ctx, cancel := context.WithDeadline(ctx, c.deadline)
+	defer cancel()
+	return body.Hold(ctx, largeHeadMemory)
+}
+
+// readBody reads the whole body, or returns an error if it is incomplete, exceeds the limits
+// or finds no memory.
+func (c *conn) readBody(ctx context.Context, res *http.Response, limits answerLimits, body *memory.Body) error {
 	if res.ContentLength > int64(limits.bodyBytes) {
-		return nil, errors.WithStack(errTooLarge)
+		return errors.WithStack(errTooLarge)
+	}
+	if limits.discard {
+		n, err := io.Copy(io.Discard, res.Body)
+		if n > int64(limits.bodyBytes) {
+			return errors.WithStack(errTooLarge)
+		}
+		return errors.Wrap(err, "read the answer's body")
 	}
 	if res.ContentLength == 0 {
-		return nil, nil
+		return nil
 	}
-	var body []byte
 	for {
-		if len(body) == cap(body) {
-			size := bodyBufferSize(len(body), int(res.ContentLength), limits.bodyBytes)
-			if len(body) > 0 && limits.reserve != nil && !limits.reserve(size-len(body)) {
-				return nil, errors.WithStack(errNoMemory)
-			}
-			body = append(make([]byte, 0, size), body...)
-		}
-		n, err := res.Body.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
+		err := c.readPart(ctx, res.Body, body)
 		switch {
-		case len(body) > limits.bodyBytes:
-			return nil, errors.WithStack(errTooLarge)
+		case body.Len() > limits.bodyBytes:
+			return errors.WithStack(errTooLarge)
 		case errors.Is(err, io.EOF), err != nil && defect.On("gateway-pass-cut-answers"):
-			return body, nil
+			return nil
 		case err != nil:
-			return nil, errors.Wrap(err, "read the answer's body")
+			return errors.Wrap(err, "read the answer's body")
 		}
 	}
 }
 
-// bodyBufferSize returns the next size of a full buffer of the given size. It ends one
-// byte above the stated length or the limit, so that the last read finds the end.
-func bodyBufferSize(full, stated, limit int) int {
-	last := limit + 1
-	if stated > 0 {
-		last = stated + 1
+// readPart reads once into a body. The body grows with the bytes that arrive, whatever length
+// the server states: one byte is read before there is memory for more.
+func (c *conn) readPart(ctx context.Context, from io.Reader, body *memory.Body) error {
+	if free := body.Free(); len(free) > 0 {
+		n, err := from.Read(free)
+		body.Extend(n)
+		return err
+	}
+	n, err := from.Read(c.probe[:])
+	if err := body.Append(ctx, c.probe[:n]); err != nil {
+		return err
 	}
-	return min(max(2*full, minBodyBuffer), max(last, full+1))
+	return err
 }
 
 // keepAlive returns the timeout parameter of a Keep-Alive header.
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -4,12 +4,18 @@
 	"bytes"
 	"context"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/baobabstack/baobabstack/internal/memory"
 )
 
+// chunkBytes is the most that the last chunk of a body can exceed the limit on bodies.
+const chunkBytes = 32 << 10
+
 // endlessServer answers each connection's first request with a head and then with a
 // pattern until the caller closes, which is reported on the channel.
 func endlessServer(t *testing.T, head, pattern string) (server *Server, callerClosed <-chan struct{}) {
@@ -59,20 +65,18 @@
 			server, closed := endlessServer(t, c.head, c.pattern)
 			lease, err := server.Open(context.Background(), time.Second, time.Minute)
 			assert.NilError(t, err)
-			reserved := 0
+			budget := memory.NewFairBudget(16 << 20)
+			server.options.Memory = budget
 			call := newCall()
 			call.Deadline = time.Now().Add(time.Minute)
-			call.Reserve = func(bytes int) bool {
-				reserved += bytes
-				return true
-			}
 			begin := time.Now()
 			r := lease.Send(context.Background(), call)
 			assert.Equal(t, r.Outcome, Unknown, "%v", r.Err)
 			assert.Assert(t, r.Err != nil)
 			assert.Assert(t, time.Since(begin) < 5*time.Second, "%s", time.Since(begin))
 			assert.Assert(t, !lease.Usable())
-			assert.Assert(t, reserved <= 1<<20+1, "%d bytes", reserved)
+			assert.Assert(t, budget.Peak() <= 1<<20+chunkBytes, "%d bytes", budget.Peak())
+			assert.Equal(t, budget.Used(), 0)
 			select {
 			case <-closed:
 			case <-time.After(5 * time.Second):
@@ -82,29 +86,121 @@
 	}
 }
 
+// fullBudget returns a budget that is used up.
+func fullBudget(t *testing.T) (budget *memory.FairBudget, holder *memory.Body) {
+	t.Helper()
+	budget = memory.NewFairBudget(1 << 20)
+	holder = budget.NewBody()
+	assert.NilError(t, holder.Hold(context.Background(), 1<<20))
+	return budget, holder
+}
+
 // The memory for answers is used up. A small answer must get through all the same, and a
 // large one must be given up without being taken for a whole one.
 func TestLargeAnswerWithoutMemoryIsGivenUp(t *testing.T) {
-	for size, want := range map[int]Outcome{minBodyBuffer - 1: Answered, 10 * minBodyBuffer: Unknown} {
+	const small = 4 << 10
+	for size, want := range map[int]Outcome{small: Answered, 10 * small: Unknown} {
 		_, server := startFakeServer(t, func(int, int) (string, bool) {
 			return "HTTP/1.1 200 OK\r\nCall-Id: c1\r\nSigned: y\r\n\r\n" + string(bytes.Repeat([]byte("x"), size)), true
 		})
 		server.options.MaxBodyBytes = 1 << 20
+		budget, _ := fullBudget(t)
+		for range 100 { // share the budget, so that no answer may wait for a second chunk
+			assert.NilError(t, budget.NewBody().Append(context.Background(), []byte("x")))
+		}
+		used := budget.Used()
+		server.options.Memory = budget
 		lease, err := server.Open(context.Background(), time.Second, time.Minute)
 		assert.NilError(t, err)
-		call := newCall()
-		call.Reserve = func(int) bool { return false }
-		r := lease.Send(context.Background(), call)
+		r := lease.Send(context.Background(), newCall())
 		assert.Equal(t, r.Outcome, want, "%v", r.Err)
 		if want == Answered {
-			assert.Equal(t, len(r.Body), size)
+			assert.Equal(t, r.Body.Len(), size)
+		} else {
+			assert.ErrorIs(t, r.Err, memory.ErrUsedUp)
 		}
+		r.Body.Release()
+		assert.Equal(t, budget.Used(), used)
+	}
+}
+
+// Guards against heads that take more memory than bodies: a large one is counted as well.
+func TestLargeHeadIsCounted(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nCall-Id: c1\r\nSigned: y\r\nContent-Length: 0\r\nLong: " + strings.Repeat("x", maxHeadBytes/2) + "\r\n\r\n"
+	_, server := startFakeServer(t, func(int, int) (string, bool) { return head, true })
+	server.options.Memory = memory.NewFairBudget(1 << 20)
+	lease, err := server.Open(context.Background(), time.Second, time.Minute)
+	assert.NilError(t, err)
+	r := lease.Send(context.Background(), newCall())
+	assert.Equal(t, r.Outcome, Answered, "%v", r.Err)
+	assert.Equal(t, server.options.Memory.Used(), largeHeadMemory)
+	r.Body.Release()
+	assert.Equal(t, server.options.Memory.Used(), 0)
+
+	server.options.Memory, _ = fullBudget(t)
+	other := server.options.Memory.NewBody()
+	assert.NilError(t, other.Append(context.Background(), []byte("x")))
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	lease, err = server.Open(context.Background(), time.Second, time.Minute)
+	assert.NilError(t, err)
+	r = lease.Send(ctx, newCall())
+	assert.Equal(t, r.Outcome, Unknown)
+	assert.ErrorContains(t, r.Err, "wait for memory")
+}
+
+// Guards against calls that fail although the memory they need is freed in time.
+func TestAnswerWaitsForMemory(t *testing.T) {
+	const size = 200 << 10
+	_, server := startFakeServer(t, func(int, int) (string, bool) {
+		return "HTTP/1.1 200 OK\r\nCall-Id: c1\r\nSigned: y\r\n\r\n" + strings.Repeat("x", size), true
+	})
+	server.options.MaxBodyBytes = 1 << 20
+	budget, holder := fullBudget(t)
+	server.options.Memory = budget
+	lease, err := server.Open(context.Background(), time.Second, time.Minute)
+	assert.NilError(t, err)
+	ended := make(chan Result, 1)
+	go func() { ended <- lease.Send(context.Background(), newCall()) }()
+	for end := time.Now().Add(5 * time.Second); budget.Waiting() == 0; time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end))
+	}
+	holder.Release()
+	r := <-ended
+	assert.Equal(t, r.Outcome, Answered, "%v", r.Err)
+	assert.Equal(t, r.Body.Len(), size)
+	r.Body.Release()
+	assert.Equal(t, budget.Used(), 0)
+}
+
+// Guards against memory that skipped and rejected answers keep.
+func TestAnswersThatAreNotPassedOnHoldNoMemory(t *testing.T) {
+	const body = "Content-Length: 5\r\n\r\nhello"
+	for _, c := range []struct{ name, answer string }{
+		{"late answer to another call", "HTTP/1.1 200 OK\r\nCall-Id: c0\r\nSigned: y\r\n" + body + "HTTP/1.1 200 OK\r\nCall-Id: c1\r\n" + body},
+		{"not signed", "HTTP/1.1 200 OK\r\nCall-Id: c1\r\n" + body},
+		{"without a call id", "HTTP/1.1 200 OK\r\nSigned: y\r\n" + body},
+		{"cut", "HTTP/1.1 200 OK\r\nCall-Id: c1\r\nSigned: y\r\n" + body[:len(body)-1]},
+		{"rejected", "HTTP/1.1 503 No\r\nCall-Id: c1\r\nNot-Run: 1\r\n" + body},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			_, server := startFakeServer(t, func(int, int) (string, bool) { return c.answer, true })
+			server.options.Memory = memory.NewFairBudget(1 << 20)
+			lease, err := server.Open(context.Background(), time.Second, time.Minute)
+			assert.NilError(t, err)
+			r := lease.Send(context.Background(), newCall())
+			assert.Assert(t, r.Outcome != Answered)
+			assert.Equal(t, server.options.Memory.Used(), 0)
+			assert.Equal(t, server.options.Memory.Peak(), 4<<10)
+		})
 	}
 }
 
 func TestEndlessAnswerToAHealthCheckIsAFailure(t *testing.T) {
 	server, closed := endlessServer(t, "HTTP/1.1 200 OK\r\nServer-Id: s1\r\n\r\n", "x")
+	server.options.Memory = memory.NewFairBudget(1 << 20)
 	_, _, err := server.Probe(context.Background(), 2*time.Second)
 	assert.ErrorContains(t, err, "exceeds")
 	<-closed
+	assert.Equal(t, server.options.Memory.Peak(), 0, "the body isn't kept")
 }
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/baobabstack/baobabstack/internal/memory"
 )
 
 // Options configures a Server.
@@ -23,6 +25,8 @@
 	MaxBodyBytes int
 	// Dialect names the headers that the server reads and writes.
 	Dialect *Dialect
+	// Memory counts the bytes of answers; nil counts nothing.
+	Memory *memory.FairBudget
 	// Standing is what this run of the server has asked for before; nil for nothing.
 	Standing *Standing
 }
@@ -133,7 +137,7 @@
 func (s *Server) healthCheck(ctx context.Context, c *conn, deadline time.Time) (Health, error) {
 	s.probes.Add(1)
 	stop := context.AfterFunc(ctx, func() { _ = c.raw.SetDeadline(expiredDeadline) })
-	m, err := s.exchangeCheck(c, deadline)
+	m, err := s.exchangeCheck(ctx, c, deadline)
 	if !stop() && err == nil {
 		// The context ended, and the callback has set an expired deadline or is about to,
 		// so the connection can't be reused.
@@ -150,16 +154,18 @@
 	return health, nil
 }
 
-func (s *Server) exchangeCheck(c *conn, deadline time.Time) (response, error) {
+func (s *Server) exchangeCheck(ctx context.Context, c *conn, deadline time.Time) (response, error) {
 	if !s.options.Standing.Available(time.Now()) { // it may have asked while the connection was opened
 		return response{}, errors.WithStack(ErrLeftAlone)
 	}
 	if _, err := c.write(s.checkRequest, deadline); err != nil {
 		return response{}, err
 	}
-	return c.read(http.MethodGet, answerLimits{bodyBytes: maxCheckBodyBytes, observe: s.observe}, func(_ int, h http.Header) bool {
+	m, err := c.read(ctx, http.MethodGet, answerLimits{bodyBytes: maxCheckBodyBytes, memory: s.options.Memory, discard: true, observe: s.observe}, func(_ int, h http.Header) bool {
 		return h.Get(s.options.Dialect.CallID) == ""
 	})
+	m.body.Release()
+	return m, err
 }
 
 func (s *Server) parseLoad(h http.Header) (Load, bool) {
@@ -226,10 +232,11 @@
 // Result is the result of a call at a server.
 type Result struct {
 	Outcome Outcome
-	// Status, Header and Body are the server's answer, if there is one.
+	// Status, Header and Body are the server's answer, if there is one. The body is to be
+	// released.
 	Status int
 	Header http.Header
-	Body   []byte
+	Body   *memory.Body
 	// WrongServer says that another server has the address.
 	WrongServer bool
 	// Load is the load reported with the answer; HasLoad is false without a valid one.
@@ -251,9 +258,6 @@
 	Body []byte
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
-	// Reserve is asked for memory before the buffer of the answer's body grows by that
-	// many bytes. If it returns false the answer is given up; nil allows all.
-	Reserve func(bytes int) bool
 }
 
 var (
@@ -265,15 +269,16 @@
 )
 
 // Send sends a call and reads the whole answer, until the call's deadline or the end of
-// the context. It sends nothing, with ErrLeftAlone, if the server wants no requests. Without an answer it closes the connection, which tells the server that the
-// caller no longer waits. Usable reports whether the lease may carry another call.
+// the context. It sends nothing, with ErrLeftAlone, if the server wants no requests. Without
+// an answer it closes the connection, which tells the server that the caller no longer waits.
+// Usable reports whether the lease may carry another call.
 func (l *Lease) Send(ctx context.Context, call *Call) Result {
 	s := l.server
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	raw := l.conn.raw
 	stop := context.AfterFunc(ctx, func() { _ = raw.SetDeadline(expiredDeadline) })
-	r := l.exchange(call)
+	r := l.exchange(ctx, call)
 	// If stop returns false, the callback has set an expired deadline or is about to.
 	if !stop() || !l.conn.keep {
 		s.pool.discard(l.conn)
@@ -285,7 +290,7 @@
 // Usable reports whether the lease may carry another call.
 func (l *Lease) Usable() bool { return l.conn != nil }
 
-func (l *Lease) exchange(call *Call) Result {
+func (l *Lease) exchange(ctx context.Context, call *Call) Result {
 	s := l.server
 	if !s.options.Standing.Available(time.Now()) {
 		return Result{Outcome: NotRun, Err: errors.WithStack(ErrLeftAlone)}
@@ -297,14 +302,24 @@
 		return Result{Err: err}
 	}
 	d := s.options.Dialect
-	m, err := l.conn.read(call.Method, answerLimits{bodyBytes: s.options.MaxBodyBytes, reserve: call.Reserve, observe: s.observe}, func(_ int, h http.Header) bool {
+	m, err := l.conn.read(ctx, call.Method, answerLimits{bodyBytes: s.options.MaxBodyBytes, memory: s.options.Memory, observe: s.observe}, func(_ int, h http.Header) bool {
 		id := h.Get(d.CallID)
 		return id == "" || id == call.ID
 	})
 	if err != nil {
 		return Result{Err: err}
 	}
-	if call.ID != "" && m.header.Get(d.CallID) == "" {
+	r := l.judge(call, m)
+	if r.Body == nil {
+		m.body.Release()
+	}
+	return r
+}
+
+// judge returns the result for the answer to a call.
+func (l *Lease) judge(call *Call, m response) Result {
+	s := l.server
+	if call.ID != "" && m.header.Get(s.options.Dialect.CallID) == "" {
 		l.conn.keep = false // what is still to come can't be told from the answer to the next call
 		return Result{Err: errors.Wrapf(errNoCallID, "status %d", m.status)}
 	}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -123,7 +123,7 @@
 	lease := mustProbe(t, server)
 	r := lease.Send(context.Background(), newCall())
 	assert.Equal(t, r.Outcome, Answered)
-	assert.Equal(t, string(r.Body), "hello")
+	assert.Equal(t, r.Body.String(), "hello")
 	assert.Equal(t, r.Load.Running, 1, "two calls ran, one of them is answered")
 	assert.Assert(t, lease.Usable())
 	assert.DeepEqual(t, backend.receivedRequests(), []string{"GET /health ", "GET /x?q=1 s1"})
@@ -173,7 +173,7 @@
 		r := lease.Send(context.Background(), newCall())
 		assert.Equal(t, r.Outcome, c.want, "%s: %v", c.name, r.Err)
 		if c.want == Answered {
-			assert.Equal(t, string(r.Body), c.body, c.name)
+			assert.Equal(t, r.Body.String(), c.body, c.name)
 		}
 		if c.closeAfter {
 			assert.Assert(t, !lease.Usable(), c.name)
@@ -286,10 +286,10 @@
 		}
 	})
 	lease := mustProbe(t, server)
-	assert.Equal(t, string(lease.Send(context.Background(), newCall()).Body), "first")
+	assert.Equal(t, lease.Send(context.Background(), newCall()).Body.String(), "first")
 	next := newCall()
 	next.ID, next.Head = "c2", []byte("Host: h\r\nCall-Id: c2\r\n")
 	r := lease.Send(context.Background(), next)
 	assert.Equal(t, r.Outcome, Answered)
-	assert.Equal(t, string(r.Body), "second")
+	assert.Equal(t, r.Body.String(), "second")
 }
--- a/proof/gateways_test.go
+++ b/proof/gateways_test.go
@@ -37,6 +37,8 @@
 	Slots int
 	// Work is how long a request runs. The default is 10 ms.
 	Work time.Duration
+	// Timeout is the time limit of a request. The default is 2 s.
+	Timeout time.Duration
 }
 
 // startGatewayFleet starts a fleet and waits until all gateways are ready.
@@ -45,8 +47,8 @@
 	store := fake.NewStore()
 	t.Cleanup(store.Close)
 	store.Configure(1, []fake.Route{
-		{Host: "look", Service: "look", Safe: true, Timeout: 2 * time.Second},
-		{Host: "book", Service: "look", Timeout: 2 * time.Second},
+		{Host: "look", Service: "look", Safe: true, Timeout: cmp.Or(o.Timeout, 2*time.Second)},
+		{Host: "book", Service: "look", Timeout: cmp.Or(o.Timeout, 2*time.Second)},
 	})
 	f := &gatewayFleet{}
 	for i := range 3 {
