cli: Give the Go runtime the memory limit of the gateway's VM

Cause: the runtime lets the heap grow to twice what is in use, whatever the VM's memory is.

Change: `baobabstack gateway` sets the runtime's memory limit to 70% of vm.memory_mb, unless GOMEMLIMIT sets a lower one, and logs it. GOGC stays as it is. The rest is for the program's pages and the kernel's buffers, which the runtime doesn't count.

It bounds what requests and answers take together, which no test shows.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -5,6 +5,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -74,6 +75,7 @@
 	signal.Ignore(syscall.SIGPIPE) // a reader of the log that left must not end the process
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	limitHeap(s.VM.MemoryMB)
 	timing := discovery.NewTiming(min(c.ConfigurationBound.duration(), c.LeavingBound.duration()))
 	return gateway.Run(ctx, &gateway.Options{
 		Settings: s,
@@ -85,6 +87,19 @@
 	}, reloadRequests(ctx))
 }
 
+// heapMemoryShare is the share of the VM's memory that the Go runtime may use before it
+// collects garbage more often than GOGC says. The rest is for the program's pages, which the
+// runtime doesn't count, and for the kernel's buffers of connections.
+const heapMemoryShare = 0.7
+
+// limitHeap sets the memory limit of the Go runtime for a VM with the given MB, unless
+// GOMEMLIMIT sets a lower one.
+func limitHeap(vmMB int) {
+	limit := min(debug.SetMemoryLimit(-1), int64(heapMemoryShare*float64(vmMB)*(1<<20)))
+	debug.SetMemoryLimit(limit)
+	logs.For("gateway").With("vm_mb", vmMB).With("heap_limit_mb", limit>>20).Infof("memory limit of the Go runtime set")
+}
+
 // reloadRequests turns SIGHUP into requests to read the settings again.
 func reloadRequests(ctx context.Context) <-chan struct{} {
 	signals := make(chan os.Signal, 1)
