gateway: Leave more of the grace period for the end of a stop

Cause: the phases of a stop ended at 0.875 and 0.95 of the grace period, counted from the moment at which the process learns of the signal, which can be late on a busy VM.

Change: they end at 0.85 and 0.92.

What it checks is the same.

--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -24,9 +24,10 @@
 	lameDuckShare = 0.4
 	// drainShare is the share of the grace period in which servers may work on requests. It
 	// leaves time to write the last answers.
-	drainShare = 0.875
-	// exitShare is the share of the grace period after which the process exits at the latest.
-	exitShare = 0.95
+	drainShare = 0.85
+	// exitShare is the share of the grace period after which the process closes all connections
+	// at the latest. On a busy VM it may have learned late that it is to stop.
+	exitShare = 0.92
 )
 
 // reasonStopping is the reason of requests that the stop would cut.
