--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -274,9 +274,9 @@
 
 // Send sends a call and reads the whole answer, until the call's deadline or the end of
 // the context. It sends nothing, with ErrLeftAlone, if the server wants no requests, and
-// nothing if the context has ended. Without
-// an answer it closes the connection, which tells the server that the caller no longer waits.
-// Usable reports whether the lease may carry another call.
+// nothing if the context has ended. Without an answer it closes the connection, which tells
+// the server that the caller no longer waits. Usable reports whether the lease may carry
+// another call.
 func (l *Lease) Send(ctx context.Context, call *Call) Result {
 	s := l.server
 	s.inFlight.Add(1)
