gateway: Log and count what the retry budget allows

The logs could not tell a process that spends what its predecessor had spent from one that divides the slack by too few gateways. The line of a request that asked for a retry or hedge has the extra sends of the window, the number allowed and the number of gateways (retry_budget); baobabstack_gateway_extra_sends_total counts them by service and result. No decision changes.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -68,7 +68,7 @@
 			ls.release()
 			continue
 		}
-		if s.sends > 0 && !r.service.state.retryBudget.Take(d.retrySlack(), time.Now()) {
+		if s.sends > 0 && !d.takeExtraSend(r) {
 			ls.release()
 			return s.failureAnswer("retry-budget")
 		}
@@ -79,12 +79,23 @@
 	}
 }
 
+// takeExtraSend reports whether the retry budget allows one more send of a request, and
+// counts it if so.
+func (d *dispatcher) takeExtraSend(r *request) bool {
+	now := time.Now()
+	budget, gateways := r.service.state.retryBudget, d.options.Members.PeakCount(d.options.Settings.Budgets.RetryWindow.Duration, now)
+	slack := d.retrySlack(gateways, now)
+	granted := budget.Take(slack, now)
+	spent, allowed := budget.Usage(slack, now)
+	r.trace.setRetryBudget(spent, allowed, gateways)
+	countExtraSend(r.service.name, granted)
+	return granted
+}
+
 // retrySlack returns this gateway's share of the retries and hedges that are allowed in
 // each window regardless of the number of requests.
-func (d *dispatcher) retrySlack() float64 {
-	now := time.Now()
-	b := d.options.Settings.Budgets
-	slack := retrySlackShare * b.RetrySlack / float64(d.options.Members.PeakCount(b.RetryWindow.Duration, now))
+func (d *dispatcher) retrySlack(gateways int, now time.Time) float64 {
+	slack := retrySlackShare * d.options.Settings.Budgets.RetrySlack / float64(gateways)
 	if now.Sub(d.options.started) < fleetSizeSettleTime {
 		return min(slack, startRetrySlack)
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -43,6 +43,15 @@
 	metrics.GetOrCreateCounter(`baobabstack_gateway_servers_left_alone_total{reason="` + reason + `"}`).Inc()
 }
 
+// countExtraSend counts an extra send that the service's retry budget allowed or refused.
+func countExtraSend(service string, granted bool) {
+	result := "over-budget"
+	if granted {
+		result = "granted"
+	}
+	metrics.GetOrCreateCounter(`baobabstack_gateway_extra_sends_total{service="` + service + `",result="` + result + `"}`).Inc()
+}
+
 // maxAuxBodyBytes bounds request bodies on the auxiliary listeners.
 const maxAuxBodyBytes = 4 << 10
 
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -16,6 +16,9 @@
 	queued bool
 	// arrival is how long the request took to arrive; 0 if that was short.
 	arrival time.Duration
+	// retryBudget is the state of the service's retry budget when the request last asked
+	// it for a send; empty if it never did.
+	retryBudget string
 }
 
 type sendTrace struct {
@@ -51,6 +54,12 @@
 // markHedge marks the latest send as a hedge, sent while another is in progress.
 func (t *trace) markHedge() { t.sends[len(t.sends)-1].hedge = true }
 
+// setRetryBudget records the extra sends of the window, the number allowed and the number
+// of gateways by which the slack was divided.
+func (t *trace) setRetryBudget(spent int, allowed float64, gateways int) {
+	t.retryBudget = strconv.Itoa(spent) + "/" + strconv.FormatFloat(allowed, 'f', 2, 64) + " of " + strconv.Itoa(gateways)
+}
+
 // endSend sets the outcome of the send with the given index.
 func (t *trace) endSend(i int, r upstream.Result) {
 	s := &t.sends[i]
@@ -107,6 +116,9 @@
 	if waited := r.received.Add(r.route.Objective).Sub(r.objectiveEnd); waited > 0 {
 		l = l.With("waited_before", waited.Round(time.Millisecond))
 	}
+	if r.trace.retryBudget != "" {
+		l = l.With("retry_budget", r.trace.retryBudget)
+	}
 	if a.retryAfter > 0 {
 		l = l.With("retry_after", a.retryAfter.Round(time.Millisecond))
 	}
--- a/internal/placement/budget.go
+++ b/internal/placement/budget.go
@@ -51,18 +51,31 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
-	calls, extra := 0, 0
-	for i := range b.calls {
-		calls += b.calls[i]
-		extra += b.extraSends[i]
-	}
-	if float64(extra)+b.rounding > b.ratio*float64(calls)+slack {
+	if spent, allowed := b.usageLocked(slack); float64(spent)+b.rounding > allowed {
 		return false
 	}
 	b.extraSends[b.current]++
 	return true
 }
 
+// Usage returns the number of extra sends in the present window and the number allowed.
+func (b *RetryBudget) Usage(slack float64, now time.Time) (spent int, allowed float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	return b.usageLocked(slack)
+}
+
+// usageLocked is Usage as of the latest call of advance. The caller holds b.mu.
+func (b *RetryBudget) usageLocked(slack float64) (spent int, allowed float64) {
+	calls := 0
+	for i := range b.calls {
+		calls += b.calls[i]
+		spent += b.extraSends[i]
+	}
+	return spent, b.ratio*float64(calls) + slack
+}
+
 // advance makes the step that contains now the current one, and drops the counts of
 // steps that have left the window.
 func (b *RetryBudget) advance(now time.Time) {
