proof: Show that restarts and cuts exceed the retry budget

Three gateways as processes; all servers refuse every request while they report room. All gateways are killed and started again a second later, or have never reached each other. Servers count the arrivals beyond the first of each request in each window of 4 s.

--- a/internal/standin/gateway.go
+++ b/internal/standin/gateway.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -21,6 +22,8 @@
 	Store string
 	// RetrySlack and ProbesPerSecond are the fleet's budgets.
 	RetrySlack, ProbesPerSecond int
+	// RetryWindow is the window of the retry budget; the default is 10 s.
+	RetryWindow time.Duration
 	// MemoryMB is the memory of the gateway's VM; the default is 200.
 	MemoryMB int
 }
@@ -32,7 +35,10 @@
 	gatewayFleetPort   = 7003
 )
 
-const defaultMemoryMB = 200
+const (
+	defaultMemoryMB    = 200
+	defaultRetryWindow = 10 * time.Second
+)
 
 // GatewayHost returns a loopback address for the gateway with an index below 512,
 // apart from those of most other test processes on the machine.
@@ -63,7 +69,7 @@
 [budgets]
 retry_ratio = 0.2
 retry_slack = %[6]d
-retry_window = "10s"
+retry_window = %[9]q
 probes_per_second = %[7]d
 [stop]
 grace = "6s"
@@ -78,6 +84,6 @@
 	for _, host := range s.Seeds {
 		seeds = append(seeds, fmt.Sprintf("\"%s:%d\"", host, gatewayFleetPort))
 	}
-	text := fmt.Sprintf(gatewaySettings, s.ID, s.Zone, s.Host, strings.Join(seeds, ", "), s.Store, s.RetrySlack, s.ProbesPerSecond, s.Memory())
+	text := fmt.Sprintf(gatewaySettings, s.ID, s.Zone, s.Host, strings.Join(seeds, ", "), s.Store, s.RetrySlack, s.ProbesPerSecond, s.Memory(), cmp.Or(s.RetryWindow, defaultRetryWindow).String())
 	return errors.Wrap(os.WriteFile(file, []byte(text), 0o600), "write a gateway's settings")
 }
--- a/proof/gateways_test.go
+++ b/proof/gateways_test.go
@@ -28,6 +28,7 @@
 	processes []*gatewayProcess
 	servers   []*fake.Server
 	store     *fake.Store
+	files     []string // the gateways' settings files
 	logs      []string // the files that the gateways log to
 }
 
@@ -54,6 +55,10 @@
 	return p, nil
 }
 
+// fleetRetrySlack is the number of extra sends that a service may get in a window regardless
+// of the number of requests.
+const fleetRetrySlack = 60
+
 // gatewayFleetOptions configures a fleet; zero values stand for the defaults.
 type gatewayFleetOptions struct {
 	// MemoryMB is the memory of a gateway's VM. The default is 200.
@@ -64,6 +69,11 @@
 	Work time.Duration
 	// Timeout is the timeout of the routes. The default is 2 s.
 	Timeout time.Duration
+	// RetryWindow is the window of the retry budget. The default is 10 s.
+	RetryWindow time.Duration
+	// Seeds are the hosts of gateways by which each gateway finds the others. The default is
+	// the fleet's own gateways.
+	Seeds []string
 	// Index is the index of the first gateway's host; fleets that run side by side have
 	// different ones. The default is 500.
 	Index int
@@ -88,25 +98,45 @@
 		store.Put(s.Entry())
 		f.servers = append(f.servers, s)
 	}
+	seeds := f.hosts
+	if o.Seeds != nil {
+		seeds = o.Seeds
+	}
 	dir := t.TempDir()
 	for i, host := range f.hosts {
 		file := filepath.Join(dir, fmt.Sprintf("g%d.toml", i))
 		settings := standin.GatewaySettings{
-			ID: fmt.Sprintf("g%d", i), Zone: fmt.Sprintf("z%d", i), Host: host, Seeds: f.hosts, Store: store.Address(),
-			RetrySlack: 60, ProbesPerSecond: 200, MemoryMB: o.MemoryMB,
+			ID: fmt.Sprintf("g%d", i), Zone: fmt.Sprintf("z%d", i), Host: host, Seeds: seeds, Store: store.Address(),
+			RetrySlack: fleetRetrySlack, RetryWindow: o.RetryWindow, ProbesPerSecond: 200, MemoryMB: o.MemoryMB,
 		}
 		assert.NilError(t, settings.Write(file))
-		log, err := os.Create(filepath.Join(dir, fmt.Sprintf("g%d.log", i)))
-		assert.NilError(t, err)
-		process, err := startGatewayProcess(file, log)
-		assert.NilError(t, err)
-		f.processes, f.logs = append(f.processes, process), append(f.logs, log.Name())
-		t.Cleanup(func() {
-			_ = process.Kill()
-			<-process.ended
-			log.Close()
-		})
+		log := filepath.Join(dir, fmt.Sprintf("g%d.log", i))
+		f.files, f.logs = append(f.files, file), append(f.logs, log)
+		f.processes = append(f.processes, nil)
+		f.start(t, i)
 	}
+	f.awaitReady(t)
+	return f
+}
+
+// start starts a gateway, whose earlier process must have ended.
+func (f *gatewayFleet) start(t *testing.T, i int) {
+	t.Helper()
+	log, err := os.OpenFile(f.logs[i], os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	assert.NilError(t, err)
+	process, err := startGatewayProcess(f.files[i], log)
+	assert.NilError(t, err)
+	f.processes[i] = process
+	t.Cleanup(func() {
+		_ = process.Kill()
+		<-process.ended
+		log.Close()
+	})
+}
+
+// awaitReady waits until all gateways are ready.
+func (f *gatewayFleet) awaitReady(t *testing.T) {
+	t.Helper()
 	for _, host := range f.hosts {
 		poll.WaitOn(t, func(poll.LogT) poll.Result {
 			res, err := http.Get(fmt.Sprintf("http://%s:%d/ready", host, standin.GatewayReadyPort))
@@ -120,7 +150,6 @@
 			return poll.Success()
 		}, poll.WithTimeout(10*time.Second))
 	}
-	return f
 }
 
 // load sends requests from a number of callers on kept connections for a time, and returns
