placement: Don't spend a window's retries again after a restart

Cause: a budget starts with an empty window, but the process before it may have spent what the window allows.

Change: in the first window after its process has started, a budget allows a twentieth of the ratio and no slack. Together with the nine tenths that earlier processes use this stays below the ratio, and repeated restarts add nothing, because the share counts calls. Processes that have run for a window spend what they did.

--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -129,7 +129,7 @@
 		return s
 	}
 	b := r.options.Settings.Budgets
-	s := &serviceState{retryBudget: placement.NewRetryBudget(b.RetryRatio, b.RetryWindow.Duration, 1-rand.Float64())}
+	s := &serviceState{retryBudget: placement.NewRetryBudget(b.RetryRatio, b.RetryWindow.Duration, 1-rand.Float64(), r.options.started)}
 	r.services[name] = s
 	return s
 }
--- a/internal/placement/budget.go
+++ b/internal/placement/budget.go
@@ -12,15 +12,19 @@
 	// of two entries can be offset by a step, so that with the full ratio the extra sends
 	// of all entries together could exceed it.
 	usableRatioShare = 0.9
+	// startRatioShare is the share of the allowed ratio that a budget uses in the first
+	// window after its process has started. With usableRatioShare it adds up to less than 1.
+	startRatioShare = 0.05
 )
 
 // RetryBudget limits the extra sends of one entry for one service over a sliding window.
 // Each send of a call after its first is an extra send. It is safe for concurrent use.
 type RetryBudget struct {
 	mu         sync.Mutex
-	ratio      float64
+	ratio      float64 // allowed, of which only a share is used
 	rounding   float64
 	step       time.Duration
+	startEnd   time.Time // when the sends of an earlier process have left the window
 	calls      [windowSteps]int
 	extraSends [windowSteps]int
 	current    int
@@ -32,8 +36,13 @@
 // send is made. With 1 the budget is never exceeded, but entries that are allowed a few
 // sends each leave half a send unused on average. With random values the budgets of many
 // entries together are used whole.
-func NewRetryBudget(ratio float64, window time.Duration, rounding float64) *RetryBudget {
-	return &RetryBudget{ratio: ratio * usableRatioShare, rounding: rounding, step: window / (windowSteps - 1)}
+//
+// Started is when the process started. An earlier process on the VM may have spent the
+// whole budget just before, so that the window after the start allows startRatioShare of
+// the ratio and no slack. Calls add that share once, however often processes restart.
+func NewRetryBudget(ratio float64, window time.Duration, rounding float64, started time.Time) *RetryBudget {
+	step := window / (windowSteps - 1)
+	return &RetryBudget{ratio: ratio, rounding: rounding, step: step, startEnd: started.Add(window + step)}
 }
 
 // CountCall records a call, which adds to the budget.
@@ -51,7 +60,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
-	if spent, allowed := b.usageLocked(slack); float64(spent)+b.rounding > allowed {
+	if spent, allowed := b.usageLocked(slack, now); float64(spent)+b.rounding > allowed {
 		return false
 	}
 	b.extraSends[b.current]++
@@ -63,17 +72,20 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
-	return b.usageLocked(slack)
+	return b.usageLocked(slack, now)
 }
 
-// usageLocked is Usage as of the latest call of advance. The caller holds b.mu.
-func (b *RetryBudget) usageLocked(slack float64) (spent int, allowed float64) {
+// usageLocked is Usage after a call of advance. The caller holds b.mu.
+func (b *RetryBudget) usageLocked(slack float64, now time.Time) (spent int, allowed float64) {
 	calls := 0
 	for i := range b.calls {
 		calls += b.calls[i]
 		spent += b.extraSends[i]
 	}
-	return spent, b.ratio*float64(calls) + slack
+	if now.Before(b.startEnd) {
+		return spent, startRatioShare * b.ratio * float64(calls)
+	}
+	return spent, usableRatioShare*b.ratio*float64(calls) + slack
 }
 
 // advance makes the step that contains now the current one, and drops the counts of
--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -215,7 +215,7 @@
 func TestRetriesStayWithinTheRatioInEachWindow(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const window, slack = 10 * time.Second, 3.0
-		b := NewRetryBudget(0.2, window, 1)
+		b := NewRetryBudget(0.2, window, 1, time.Time{})
 		now := time.Unix(1000, 0)
 		type send struct {
 			when  time.Time
@@ -359,7 +359,7 @@
 		rng := rand.New(rand.NewPCG(6, uint64(entries)))
 		budgets := make([]*RetryBudget, entries)
 		for i := range budgets {
-			budgets[i] = NewRetryBudget(ratio, window, 1-rng.Float64())
+			budgets[i] = NewRetryBudget(ratio, window, 1-rng.Float64(), time.Time{})
 		}
 		start := time.Unix(1000, 0)
 		calls, extra := 0, 0
