fleet, gateway: Divide the retry slack by the whole fleet

Cause: the slack was divided by the live gateways that a process knew. After a start that takes about 10 s to become the fleet: in a fleet of 103 a gateway knew 29 (median) when it began to use its part, 5 s after the start, and the parts of all added up to 424 of 119. A gateway cut off from all took the whole slack; two windows after members fell silent their parts were taken too.

Change: Members.Size counts a member that fell silent without leaving until it is forgotten, after 10 min (was 60 s). A process uses no slack until it has heard from each seed 12 s or more after its start; it asks those that it has not heard, less and less often, and gives up after 10 min, because seeds may be stale.

The test of the divisor asked for 1 after 40 s of silence.

--- a/internal/fleet/gossip.go
+++ b/internal/fleet/gossip.go
@@ -34,6 +34,9 @@
 	// seedPerRound bounds their number like remotePerRound.
 	seedShare    = 0.05
 	seedPerRound = 1.0
+	// maxSeedPause bounds the pause between two datagrams to a seed that was never heard. The
+	// first pause is gossipInterval, and it doubles each time.
+	maxSeedPause = 30 * time.Second
 	// maxDatagramBytes is the size of the receive buffer.
 	maxDatagramBytes = 64 << 10
 )
@@ -45,6 +48,12 @@
 	address string
 	seeds   func() []string
 	log     logs.Logger
+
+	// settled is settleTime after the start. Seeds that were not heard since then are asked
+	// at askSeedsAt, and again after askSeedsPause.
+	settled       time.Time
+	askSeedsAt    time.Time
+	askSeedsPause time.Duration
 }
 
 // NewGossip returns a Gossip that listens on a UDP address. The seeds function
@@ -64,9 +73,13 @@
 	defer stop()
 	defer func() { _ = socket.Close() }()
 	go g.receive(socket)
+	g.settled = time.Now().Add(settleTime)
 	seen := 0
 	for {
 		pause := g.round(socket)
+		for _, address := range g.seedsToAsk(time.Now()) {
+			g.send(socket, address, g.members.ZoneOf(address), &fleetwire.Gossip{ReplyTo: g.address})
+		}
 		if n := g.members.LiveCount(time.Now()); n != seen {
 			g.log.With("live", n).With("before", seen).Infof("members changed")
 			seen = n
@@ -114,6 +127,18 @@
 	}
 }
 
+// seedsToAsk returns the seeds to ask now because they were not heard yet. It waits longer
+// after each time, up to maxSeedPause.
+func (g *Gossip) seedsToAsk(now time.Time) []string {
+	unheard := g.members.findUnheardSeeds(g.seeds(), g.settled, now)
+	if len(unheard) == 0 || now.Before(g.askSeedsAt) {
+		return nil
+	}
+	g.askSeedsPause = min(max(2*g.askSeedsPause, gossipInterval), maxSeedPause)
+	g.askSeedsAt = now.Add(g.askSeedsPause)
+	return unheard
+}
+
 // chooseSeed returns the address of a random seed. It is empty if there is no seed or
 // the draw fell on this gateway.
 func (g *Gossip) chooseSeed() string {
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -36,8 +36,9 @@
 	// maxWanted bounds the entries that are requested at once, so that the reply fits
 	// into a frame.
 	maxWanted = 15
-	// forgetTimeout is the time without a new beat after which a member is removed.
-	forgetTimeout = 60 * time.Second
+	// forgetTimeout is the time without a new beat after which a member is removed. Until
+	// then it may be cut off from this gateway and share the fleet's limits.
+	forgetTimeout = 10 * time.Minute
 	// storeUnreachablePeriod is how long a gateway is not chosen as reader after the store
 	// failed to answer it.
 	storeUnreachablePeriod = 10 * time.Second
@@ -53,10 +54,7 @@
 	self *fleetwire.Member
 	// storeUnreachableAt is when the store last failed to answer this gateway.
 	storeUnreachableAt time.Time
-	// peaks are the highest counts of live gateways in the present and in the previous
-	// window of PeakCount; peakStart is the start of the present one.
-	peaks     [2]int
-	peakStart time.Time
+	size               sizeState
 	// known holds the other gateways by their ids.
 	known map[string]*member
 	// byHash holds the same members by their hashes.
@@ -321,47 +319,6 @@
 	return !at.IsZero() && now.Sub(at) < storeUnreachablePeriod
 }
 
-// LiveCount returns the number of live gateways, this one included. Of each data centre it
-// counts the known members, or those that follow the same member if that are more.
-func (m *Members) LiveCount(now time.Time) int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.liveCountLocked(now)
-}
-
-func (m *Members) liveCountLocked(now time.Time) int {
-	type count struct{ known, following int }
-	zones := map[string]count{m.self.Zone: {known: 1, following: 1 + int(m.self.Followers)}}
-	for _, k := range m.known {
-		if k.live(now) {
-			c := zones[k.wire.Zone]
-			zones[k.wire.Zone] = count{c.known + 1, max(c.following, 1+int(k.wire.Followers))}
-		}
-	}
-	sum := 0
-	for _, c := range zones {
-		sum += max(c.known, c.following)
-	}
-	return sum
-}
-
-// PeakCount returns the highest LiveCount of the last one or two windows. A budget over a
-// window is divided by it: while members are lost or miscounted, the parts of those that
-// have spent theirs are not spent again by others. All calls must give the same window.
-func (m *Members) PeakCount(window time.Duration, now time.Time) int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if passed := now.Sub(m.peakStart); passed >= window {
-		m.peaks[1] = m.peaks[0]
-		if passed >= 2*window {
-			m.peaks[1] = 0
-		}
-		m.peaks[0], m.peakStart = 0, now
-	}
-	m.peaks[0] = max(m.peaks[0], m.liveCountLocked(now))
-	return max(m.peaks[0], m.peaks[1])
-}
-
 func (k *member) live(now time.Time) bool {
 	return now.Sub(k.heardAt) < liveTimeout && !k.wire.Leaving
 }
--- a/internal/fleet/scale_test.go
+++ b/internal/fleet/scale_test.go
@@ -39,6 +39,7 @@
 		}
 		w := testMember(fmt.Sprintf("m%d", i), fmt.Sprintf("z%d", i%zones), capacity)
 		g := NewGossip(NewMembers(w), w.GossipAddress, seeds)
+		g.settled = now.Add(settleTime)
 		s.gateways, s.byAddr[w.GossipAddress] = append(s.gateways, g), g
 	}
 	return s
@@ -93,6 +94,9 @@
 			}
 			left -= pause
 		}
+		for _, address := range g.seedsToAsk(s.clock) {
+			s.deliver(g, address, &fleetwire.Gossip{ReplyTo: g.address})
+		}
 	}
 	for _, g := range s.gateways {
 		g.members.self.Followers = 0
@@ -169,22 +173,6 @@
 	assert.Assert(t, s.countError() < 0.05, "%.3f", s.countError())
 }
 
-// A quarter of the fleet is lost at once. Until it is certain that these gateways don't come
-// back within the window of a budget, the others must not spend their parts.
-func TestBudgetsAreDividedByTheLargestRecentCount(t *testing.T) {
-	const window = 10 * time.Second
-	m := newTestMembers(testMember("a", "x", 1), testMember("b", "x", 1), testMember("c", "y", 1), testMember("d", "y", 1))
-	assert.Equal(t, m.PeakCount(window, now), 4)
-	leaving := testMember("b", "x", 1)
-	leaving.Beat, leaving.Leaving = 2, true
-	m.Merge([]*fleetwire.Member{leaving}, now)
-	assert.Equal(t, m.LiveCount(now), 3)
-	assert.Equal(t, m.PeakCount(window, now.Add(window-time.Second)), 4)
-	assert.Equal(t, m.PeakCount(window, now.Add(window+time.Second)), 4, "within a period of the loss")
-	later := now.Add(4 * window)
-	assert.Equal(t, m.PeakCount(window, later), 1, "no beats for liveTimeout")
-}
-
 // The leader of another data centre tells how many follow it, which counts for the members
 // that this gateway doesn't know.
 func TestFollowersOfALeaderAreCounted(t *testing.T) {
--- /dev/null
+++ b/internal/fleet/size.go
@@ -0,0 +1,112 @@
+package fleet
+
+import (
+	"time"
+)
+
+const (
+	// settleTime is the time after the start until a gateway has heard of nearly all others,
+	// see TestNewsReachesALargeFleet.
+	settleTime = 12 * gossipInterval
+	// unmetFleetSize is the size that a gateway assumes of a fleet of which it has not met
+	// any other gateway.
+	unmetFleetSize = 100
+)
+
+// Size is what a gateway knows of the number of gateways that share the fleet's limits.
+type Size struct {
+	// Gateways is the number of gateways known to share the limits, at least 1.
+	Gateways int
+	// Known says that no other gateways are expected. It is false until the gateway has
+	// heard from all seeds after settleTime, because a seed that it has not reached may be
+	// one of many that run cut off from it.
+	Known bool
+}
+
+// sizeState is the part of Members that Size reads.
+type sizeState struct {
+	known bool
+	// peaks are the highest counts in the present and in the previous window of Size;
+	// peakStart is the start of the present one.
+	peaks     [2]int
+	peakStart time.Time
+}
+
+// LiveCount returns the number of live gateways, this one included. Of each data centre it
+// counts the known members, or those that follow the same member if that are more.
+func (m *Members) LiveCount(now time.Time) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.countLocked(func(k *member) bool { return k.live(now) })
+}
+
+// countLocked counts the gateways as LiveCount does, from the members for which keep is
+// true. The caller holds m.mu.
+func (m *Members) countLocked(keep func(*member) bool) int {
+	type count struct{ known, following int }
+	zones := map[string]count{m.self.Zone: {known: 1, following: 1 + int(m.self.Followers)}}
+	for _, k := range m.known {
+		if keep(k) {
+			c := zones[k.wire.Zone]
+			zones[k.wire.Zone] = count{c.known + 1, max(c.following, 1+int(k.wire.Followers))}
+		}
+	}
+	sum := 0
+	for _, c := range zones {
+		sum += max(c.known, c.following)
+	}
+	return sum
+}
+
+// Size returns the number of gateways by which a limit of the fleet is divided. A member
+// that falls silent without leaving counts until it is forgotten, because it may be cut off
+// and use its part. One that leaves counts until the end of the window after the one in
+// which it left, because a budget over a window remembers what it has spent. All calls must
+// give the same window.
+func (m *Members) Size(window time.Duration, now time.Time) Size {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := &m.size
+	if passed := now.Sub(s.peakStart); passed >= window {
+		s.peaks[1] = s.peaks[0]
+		if passed >= 2*window {
+			s.peaks[1] = 0
+		}
+		s.peaks[0], s.peakStart = 0, now
+	}
+	s.peaks[0] = max(s.peaks[0], m.countLocked(func(k *member) bool { return !k.wire.Leaving }))
+	n := max(s.peaks[0], s.peaks[1])
+	if n == 1 && !s.known {
+		n = unmetFleetSize
+	}
+	return Size{Gateways: n, Known: s.known}
+}
+
+// findUnheardSeeds returns the seeds' gossip addresses from which nothing was heard since
+// the fleet has settled, for the caller to ask. Without any, the fleet's size is known from
+// now on. It is also known after forgetTimeout, since seeds may be stale.
+func (m *Members) findUnheardSeeds(seeds []string, settled, now time.Time) (unheard []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.size.known || now.Before(settled) {
+		return nil
+	}
+	heard := map[string]bool{m.self.GossipAddress: true}
+	for _, k := range m.known {
+		if !k.heardAt.Before(settled) {
+			heard[k.wire.GossipAddress] = true
+		}
+	}
+	for _, s := range seeds {
+		if !heard[s] {
+			unheard = append(unheard, s)
+		}
+	}
+	if len(unheard) == 0 || now.Sub(settled) >= forgetTimeout {
+		m.size.known = true
+		m.log.With("gateways", m.countLocked(func(k *member) bool { return !k.wire.Leaving })).With("unheard_seeds", unheard).
+			Infof("size of the fleet is known")
+		return nil
+	}
+	return unheard
+}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/baobabstack/baobabstack/internal/defect"
+	"github.com/baobabstack/baobabstack/internal/fleet"
 	"github.com/baobabstack/baobabstack/internal/memory"
 	"github.com/baobabstack/baobabstack/internal/placement"
 	"github.com/baobabstack/baobabstack/internal/routing"
@@ -83,23 +84,23 @@
 // counts it if so.
 func (d *dispatcher) takeExtraSend(r *request) bool {
 	now := time.Now()
-	budget, gateways := r.service.state.retryBudget, d.options.Members.PeakCount(d.options.Settings.Budgets.RetryWindow.Duration, now)
-	slack := d.retrySlack(gateways, now)
+	budget, size := r.service.state.retryBudget, d.options.fleetSize(now)
+	slack := d.retrySlack(size)
 	granted := budget.Take(slack, now)
 	spent, allowed := budget.Usage(slack, now)
-	r.trace.setRetryBudget(spent, allowed, gateways)
+	r.trace.setRetryBudget(spent, allowed, size)
 	countExtraSend(r.service.name, granted)
 	return granted
 }
 
 // retrySlack returns this gateway's share of the retries and hedges that are allowed in
-// each window regardless of the number of requests.
-func (d *dispatcher) retrySlack(gateways int, now time.Time) float64 {
-	slack := retrySlackShare * d.options.Settings.Budgets.RetrySlack / float64(gateways)
-	if now.Sub(d.options.started) < fleetSizeSettleTime {
-		return min(slack, startRetrySlack)
+// each window regardless of the number of requests. There is none while the gateway may
+// know only a part of the fleet: all parts together could use it many times over.
+func (d *dispatcher) retrySlack(size fleet.Size) float64 {
+	if !size.Known {
+		return 0
 	}
-	return slack
+	return retrySlackShare * d.options.Settings.Budgets.RetrySlack / float64(size.Gateways)
 }
 
 // retrySlackShare is the share of the retry slack that is used. The rest is a margin,
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -59,11 +59,6 @@
 	// callerIdleTimeout bounds the time between two requests on a caller's connection
 	// if the configuration allows more or has not been received yet.
 	callerIdleTimeout = 2 * time.Minute
-	// fleetSizeSettleTime is the time after the start in which the gateway may not know
-	// the size of the fleet yet. A fleet that starts all at once could spend the retry
-	// slack many times over, so that each gateway's part is at most startRetrySlack.
-	fleetSizeSettleTime = 5 * time.Second
-	startRetrySlack     = 1.0
 )
 
 // Run runs a gateway until the context ends and then stops it gracefully. It reads the
@@ -130,6 +125,11 @@
 	return nil
 }
 
+// fleetSize returns the number of gateways that share the fleet's budgets.
+func (o *Options) fleetSize(now time.Time) fleet.Size {
+	return o.Members.Size(o.Settings.Budgets.RetryWindow.Duration, now)
+}
+
 // setStoreReachable records in the member table whether the store answers this gateway.
 func (o *Options) setStoreReachable(reachable bool, now time.Time) {
 	if reachable {
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/baobabstack/baobabstack/internal/fleet"
 	"github.com/baobabstack/baobabstack/internal/logs"
 	"github.com/baobabstack/baobabstack/internal/upstream"
 )
@@ -55,9 +56,12 @@
 func (t *trace) markHedge() { t.sends[len(t.sends)-1].hedge = true }
 
 // setRetryBudget records the extra sends of the window, the number allowed and the number
-// of gateways by which the slack was divided.
-func (t *trace) setRetryBudget(spent int, allowed float64, gateways int) {
-	t.retryBudget = strconv.Itoa(spent) + "/" + strconv.FormatFloat(allowed, 'f', 2, 64) + " of " + strconv.Itoa(gateways)
+// of gateways that share the slack, with a question mark if there may be more.
+func (t *trace) setRetryBudget(spent int, allowed float64, size fleet.Size) {
+	t.retryBudget = strconv.Itoa(spent) + "/" + strconv.FormatFloat(allowed, 'f', 2, 64) + " of " + strconv.Itoa(size.Gateways)
+	if !size.Known {
+		t.retryBudget += "?"
+	}
 }
 
 // endSend sets the outcome of the send with the given index.
