placement: Don't let chance add up to more retries than allowed

Cause: each gateway may spend a share of the calls of its latest window. What it spends at a chance peak of its calls stays spent when they become fewer, so that a gateway spends by its largest recent window and the fleet by the sum of these, which is more than the largest window of the fleet.

Change: a budget counts the average calls of two windows, or those of the latest beyond two standard deviations if that is more, and never more than the full ratio of the latest window. The shares of ratio and slack are the same.

--- a/internal/placement/budget.go
+++ b/internal/placement/budget.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -8,6 +9,11 @@
 const (
 	// windowSteps is the number of steps into which a sliding window is divided.
 	windowSteps = 20
+	// callSteps is the number of steps over which calls are averaged: two windows.
+	callSteps = 2*windowSteps - 1
+	// noiseDeviations is the number of standard deviations that chance is taken to explain
+	// in the number of calls in a window.
+	noiseDeviations = 2.0
 	// usableRatioShare is the share of the allowed ratio that a budget uses. The windows
 	// of two entries can be offset by a step, so that with the full ratio the extra sends
 	// of all entries together could exceed it.
@@ -25,9 +31,10 @@
 	rounding   float64
 	step       time.Duration
 	startEnd   time.Time // when the sends of an earlier process have left the window
-	calls      [windowSteps]int
-	extraSends [windowSteps]int
+	calls      [callSteps]int
+	extraSends [callSteps]int // only the latest windowSteps count
 	current    int
+	steps      int // with calls, from the first call on, up to callSteps
 	stepStart  time.Time
 }
 
@@ -51,6 +58,7 @@
 	defer b.mu.Unlock()
 	b.advance(now)
 	b.calls[b.current]++
+	b.steps = max(b.steps, 1)
 }
 
 // Take records an extra send and returns true if the budget allows one. Slack is
@@ -77,15 +85,29 @@
 
 // usageLocked is Usage after a call of advance. The caller holds b.mu.
 func (b *RetryBudget) usageLocked(slack float64, now time.Time) (spent int, allowed float64) {
-	calls := 0
-	for i := range b.calls {
-		calls += b.calls[i]
-		spent += b.extraSends[i]
+	recent, all := 0, 0
+	for age := range callSteps {
+		i := (b.current - age + callSteps) % callSteps
+		all += b.calls[i]
+		if age < windowSteps {
+			recent += b.calls[i]
+			spent += b.extraSends[i]
+		}
 	}
 	if now.Before(b.startEnd) {
-		return spent, startRatioShare * b.ratio * float64(calls)
+		return spent, startRatioShare * b.ratio * float64(all)
 	}
-	return spent, usableRatioShare*b.ratio*float64(calls) + slack
+	usual := usableRatioShare * usualCalls(recent, all, b.steps)
+	return spent, b.ratio*min(usual, float64(recent)) + slack
+}
+
+// usualCalls returns the number of calls in a window apart from chance, given those of the
+// latest window and those of all steps: their average, or what is beyond chance in the
+// latest window. Extra sends that follow chance add up in a large fleet, because what an
+// entry spends while it has more calls than usual stays spent when it has fewer.
+func usualCalls(recent, all, steps int) float64 {
+	average := float64(all) * windowSteps / float64(max(steps, windowSteps))
+	return max(average, float64(recent)-noiseDeviations*math.Sqrt(float64(recent)))
 }
 
 // advance makes the step that contains now the current one, and drops the counts of
@@ -94,10 +116,13 @@
 	if b.stepStart.IsZero() {
 		b.stepStart = now
 	}
-	for range min(int(now.Sub(b.stepStart)/b.step), windowSteps) {
-		b.current = (b.current + 1) % windowSteps
+	for range min(int(now.Sub(b.stepStart)/b.step), callSteps) {
+		b.current = (b.current + 1) % callSteps
 		b.calls[b.current], b.extraSends[b.current] = 0, 0
 		b.stepStart = b.stepStart.Add(b.step)
+		if b.steps > 0 {
+			b.steps = min(b.steps+1, callSteps)
+		}
 	}
 	if now.Sub(b.stepStart) > b.step {
 		b.stepStart = now
--- a/internal/placement/budget_test.go
+++ b/internal/placement/budget_test.go
@@ -8,6 +8,12 @@
 	"gotest.tools/v3/assert"
 )
 
+const (
+	// slackPerEntry and minSlack give a fleet's slack by its size.
+	slackPerEntry = 1.35
+	minSlack      = 60.0
+)
+
 // budgetFleet plays the retry budgets of a fleet whose servers refuse every call from a
 // moment on, each time it is sent.
 type budgetFleet struct {
@@ -22,7 +28,7 @@
 func newBudgetFleet(entries int, seed uint64) *budgetFleet {
 	f := &budgetFleet{
 		rng: rand.New(rand.NewPCG(seed, uint64(entries))), budgets: make([]*RetryBudget, entries),
-		ratio: 0.2, slack: 170, window: 10 * time.Second, started: time.Unix(1000, 0),
+		ratio: 0.2, slack: max(minSlack, slackPerEntry*float64(entries)), window: 10 * time.Second, started: time.Unix(1000, 0),
 	}
 	f.clock = f.started
 	for i := range f.budgets {
@@ -97,7 +103,7 @@
 		}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			for _, entries := range []int{3, 17, 103} {
+			for _, entries := range []int{3, 17, 103, 472} {
 				for _, interval := range []time.Duration{time.Millisecond, 12 * time.Millisecond} {
 					f := newBudgetFleet(entries, 7)
 					f.play(refusingFrom, interval, false)
@@ -129,3 +135,19 @@
 	spent := countIn(f.extra, 11*time.Second, 21*time.Second)
 	assert.Assert(t, float64(spent) >= minUsed*usable, "%d extra sends of %.0f", spent, usable)
 }
+
+// Guards against parts of a limit that each follow the chance number of calls at one entry:
+// what an entry has spent at the peak of its calls stays spent when they become fewer.
+func TestLargeFleetKeepsItsRetryBudgetWhileCallsFluctuate(t *testing.T) {
+	for _, entries := range []int{17, 103, 472, 1738} {
+		for _, interval := range []time.Duration{time.Millisecond, 12 * time.Millisecond} {
+			for seed := range uint64(3) {
+				f := newBudgetFleet(entries, seed)
+				f.play(12*time.Second, interval, false)
+				f.play(60*time.Second, interval, true)
+				t.Logf("%d entries, a call each %s: %.2f of the budget", entries, interval, f.worst())
+				assert.Check(t, f.worst() <= 1, "%d entries, a call each %s: %.2f of the budget", entries, interval, f.worst())
+			}
+		}
+	}
+}
