placement, fleet: Let a gateway on its own retry after its start

Cause: with few calls a twentieth of the ratio is less than one retry.

Change: the window after the start allows a twentieth of the slack too, and a gateway whose only seed is itself knows the size of its fleet at once.

--- a/internal/fleet/size.go
+++ b/internal/fleet/size.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 )
 
@@ -8,8 +9,8 @@
 	// settleTime is the time after the start until a gateway has heard of nearly all others,
 	// see TestNewsReachesALargeFleet.
 	settleTime = 12 * gossipInterval
-	// unmetFleetSize is the size that a gateway assumes of a fleet of which it has not met
-	// any other gateway.
+	// unmetFleetSize is the size that a gateway with seeds assumes of its fleet while it
+	// knows no other gateway.
 	unmetFleetSize = 100
 )
 
@@ -25,7 +26,8 @@
 
 // sizeState is the part of Members that Size reads.
 type sizeState struct {
-	known bool
+	known    bool
+	hasSeeds bool // other than this gateway
 	// peaks are the highest counts in the present and in the previous window of Size;
 	// peakStart is the start of the present one.
 	peaks     [2]int
@@ -76,7 +78,7 @@
 	}
 	s.peaks[0] = max(s.peaks[0], m.countLocked(func(k *member) bool { return !k.wire.Leaving }))
 	n := max(s.peaks[0], s.peaks[1])
-	if n == 1 && !s.known {
+	if n == 1 && s.hasSeeds && !s.known {
 		n = unmetFleetSize
 	}
 	return Size{Gateways: n, Known: s.known}
@@ -84,11 +86,14 @@
 
 // findUnheardSeeds returns the seeds' gossip addresses from which nothing was heard since
 // the fleet has settled, for the caller to ask. Without any, the fleet's size is known from
-// now on. It is also known after forgetTimeout, since seeds may be stale.
+// now on. It is also known after forgetTimeout, since seeds may be stale. Callers give the
+// seeds from the start on, also before the fleet has settled.
 func (m *Members) findUnheardSeeds(seeds []string, settled, now time.Time) (unheard []string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.size.known || now.Before(settled) {
+	m.size.hasSeeds = slices.ContainsFunc(seeds, func(s string) bool { return s != m.self.GossipAddress })
+	alone := len(seeds) > 0 && !m.size.hasSeeds
+	if m.size.known || (now.Before(settled) && !alone) {
 		return nil
 	}
 	heard := map[string]bool{m.self.GossipAddress: true}
--- a/internal/placement/budget.go
+++ b/internal/placement/budget.go
@@ -18,9 +18,10 @@
 	// of two entries can be offset by a step, so that with the full ratio the extra sends
 	// of all entries together could exceed it.
 	usableRatioShare = 0.9
-	// startRatioShare is the share of the allowed ratio that a budget uses in the first
-	// window after its process has started. With usableRatioShare it adds up to less than 1.
-	startRatioShare = 0.05
+	// startShare is the share of the allowed ratio, and of the slack, that a budget uses in
+	// the first window after its process has started. Of the ratio it adds up to less than 1
+	// with usableRatioShare.
+	startShare = 0.05
 )
 
 // RetryBudget limits the extra sends of one entry for one service over a sliding window.
@@ -45,8 +46,7 @@
 // entries together are used whole.
 //
 // Started is when the process started. An earlier process on the VM may have spent the
-// whole budget just before, so that the window after the start allows startRatioShare of
-// the ratio and no slack. Calls add that share once, however often processes restart.
+// whole budget just before, so that the window after the start allows only startShare of it.
 func NewRetryBudget(ratio float64, window time.Duration, rounding float64, started time.Time) *RetryBudget {
 	step := window / (windowSteps - 1)
 	return &RetryBudget{ratio: ratio, rounding: rounding, step: step, startEnd: started.Add(window + step)}
@@ -95,7 +95,7 @@
 		}
 	}
 	if now.Before(b.startEnd) {
-		return spent, startRatioShare * b.ratio * float64(all)
+		return spent, startShare * (b.ratio*float64(all) + slack)
 	}
 	usual := usableRatioShare * usualCalls(recent, all, b.steps)
 	return spent, b.ratio*min(usual, float64(recent)) + slack
