gateway, placement: Divide health checks and connections like retries

Cause: health checks were divided by the live gateways that a process knew, and connection limits by those at the moment of the latest change of a list. After a start both are a few of a hundred (12 of 103, median, one second after the processes start), and a gateway that is cut off took the whole. A limit that was set then stayed until servers or routes changed, and health checks that had been allowed at the first rate stayed allowed.

A bucket of checks holds no more than would have arrived at the present rate.

TestConnectionLimitsFollowTheSizeOfTheFleet and TestHealthChecksOfAnEntryThatKnewFewOthersAreDropped guard against both; the second fails without the change of the bucket, the first without the limiter.

--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -236,7 +236,7 @@
 // checks per second.
 func (d *dispatcher) checkRate(svc *service) float64 {
 	all := d.options.Settings.Budgets.ProbesPerSecond * float64(len(svc.local)+len(svc.remote))
-	return checkBudgetShare * all / float64(max(d.options.Members.LiveCount(time.Now()), 1))
+	return checkBudgetShare * all / float64(d.options.fleetSize(time.Now()).Gateways)
 }
 
 // checkTarget sends a health check to one server. It returns nil if the check fails or
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -79,14 +79,14 @@
 	for name := range v.Table.Services {
 		s.services[name] = &service{name: name, state: r.serviceState(name)}
 	}
-	live := r.options.Members.LiveCount(now)
+	gateways := r.options.fleetSize(now).Gateways
 	next := make(map[string]*target, len(v.Servers))
 	for _, info := range v.Servers {
 		configured, ok := v.Table.Services[info.Service]
 		if !ok {
 			continue
 		}
-		t := r.target(info, configured, connectionLimit(configured.MaxConnections, live), now)
+		t := r.target(info, configured, connectionLimit(configured.MaxConnections, gateways), now)
 		next[info.ID] = t
 		if info.Leaving && !defect.On("gateway-ignore-leaving") {
 			continue
@@ -162,21 +162,3 @@
 	t.server.SetConnectionLimit(limit)
 	return t
 }
-
-const (
-	// connectionShare is the share of a server's connection limit that the gateways use
-	// together, since a server accepts fewer connections while its queue is long.
-	connectionShare = 0.8
-	// minConnections is the least connection limit of one gateway to a server. It allows
-	// a health check during a call.
-	minConnections = 2
-)
-
-// connectionLimit returns one gateway's share of a server's connections, given the
-// number of live gateways; 0 means no limit.
-func connectionLimit(all, live int) int {
-	if all == 0 {
-		return 0
-	}
-	return max(int(connectionShare*float64(all))/max(live, 1), minConnections)
-}
--- a/internal/gateway/registry_test.go
+++ b/internal/gateway/registry_test.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/baobabstack/baobabstack/internal/discovery"
 	"github.com/baobabstack/baobabstack/internal/fleet"
@@ -92,14 +94,39 @@
 	}
 }
 
-func TestConnectionLimitIsSharedAmongLiveGateways(t *testing.T) {
-	for _, test := range []struct{ all, live, want int }{
+func TestConnectionLimitIsSharedAmongGateways(t *testing.T) {
+	for _, test := range []struct{ all, gateways, want int }{
 		{0, 10, 0},
 		{260, 1, 208},
 		{260, 17, 12},
 		{260, 200, minConnections},
 		{260, 0, 208},
 	} {
-		assert.Equal(t, connectionLimit(test.all, test.live), test.want, "%+v", test)
+		assert.Equal(t, connectionLimit(test.all, test.gateways), test.want, "%+v", test)
 	}
 }
+
+// Guards against a gateway that keeps the connection limits of the moment at which a server
+// was listed, when it knew few other gateways.
+func TestConnectionLimitsFollowTheSizeOfTheFleet(t *testing.T) {
+	r := testRegistry()
+	r.options.Members.Merge([]*fleetwire.Member{{Id: "entry-2", Address: "127.0.0.2:1", Zone: "a", Incarnation: 1}}, time.Now())
+	current := newLatestSnapshot(time.Now())
+	v := discovery.View{Table: testTable(t), Servers: testServers(1)}
+	current.set(r.build(v, time.Now()))
+	server := current.get().services["stock"].local[0].server
+	assert.Equal(t, server.ConnectionLimit(), connectionLimit(260, 2))
+	for i := range 15 {
+		id := fmt.Sprintf("entry-%d", 3+i)
+		r.options.Members.Merge([]*fleetwire.Member{{Id: id, Address: id + ":1", Zone: "a", Incarnation: 1}}, time.Now())
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = (&connectionLimiter{options: r.options, current: current}).Serve(ctx) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if limit := server.ConnectionLimit(); limit != connectionLimit(260, 17) {
+			return poll.Continue("limit %d", limit)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*connectionLimitInterval))
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -108,6 +108,7 @@
 		auxListener{name: "ready", address: s.Listen.Ready, path: s.Listen.ReadyPath, handle: stop.ready},
 		auxListener{name: "metrics", address: s.Listen.Metrics, path: s.Listen.MetricsPath, handle: writeMetrics},
 		&reloader{options: o, requests: reload, log: log},
+		&connectionLimiter{options: o, current: h.current},
 	} {
 		root.Add(child)
 	}
--- a/internal/placement/budget.go
+++ b/internal/placement/budget.go
@@ -135,6 +135,7 @@
 	mu     sync.Mutex
 	tokens float64
 	latest time.Time
+	first  time.Time // when it was first used
 }
 
 const (
@@ -186,12 +187,14 @@
 	return r.tokens / perSecond
 }
 
-// fill adds the tokens for the time since the last call of fill.
+// fill adds the tokens for the time since the last call of fill. Until the bucket could
+// have filled at the present rate it holds no more than that: the rate is too high while an
+// entry that has just started knows few others.
 func (r *TokenBucket) fill(perSecond float64, now time.Time) {
-	if r.latest.IsZero() {
-		r.tokens = perSecond * initialSeconds
-	} else {
-		r.tokens = min(r.tokens+now.Sub(r.latest).Seconds()*perSecond, perSecond*burstSeconds)
+	if r.first.IsZero() {
+		r.tokens, r.first, r.latest = perSecond*initialSeconds, now, now
 	}
+	capacity := perSecond * min(burstSeconds, initialSeconds+now.Sub(r.first).Seconds())
+	r.tokens = min(r.tokens+now.Sub(r.latest).Seconds()*perSecond, capacity)
 	r.latest = now
 }
--- a/internal/placement/budget_test.go
+++ b/internal/placement/budget_test.go
@@ -151,3 +151,19 @@
 		}
 	}
 }
+
+// Guards against health checks that an entry was allowed while it knew few of the others, and
+// that it sends when it knows them all.
+func TestHealthChecksOfAnEntryThatKnewFewOthersAreDropped(t *testing.T) {
+	const atFirst, whole = 2500.0, 25.0 // a second
+	var r TokenBucket
+	now := time.Unix(1000, 0)
+	assert.Assert(t, r.Take(2, atFirst, now))
+	now = now.Add(time.Second)
+	allowed := 0
+	for r.Take(1, whole, now) {
+		allowed++
+	}
+	assert.Assert(t, float64(allowed) <= whole*(initialSeconds+1), "%d", allowed)
+	assert.Assert(t, float64(allowed) >= whole*initialSeconds, "%d", allowed)
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -150,6 +150,12 @@
 	p.mu.Unlock()
 }
 
+func (p *pool) getLimit() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.limit
+}
+
 // counts returns how many connections are open now, and how many were opened in
 // total, failed attempts included.
 func (p *pool) counts() (open, opened int) {
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -57,6 +57,9 @@
 // SetConnectionLimit limits the open connections; 0 means unlimited.
 func (s *Server) SetConnectionLimit(limit int) { s.pool.setLimit(limit) }
 
+// ConnectionLimit returns the limit of the open connections; 0 means unlimited.
+func (s *Server) ConnectionLimit() int { return s.pool.getLimit() }
+
 // Standing returns what the server has asked for.
 func (s *Server) Standing() *Standing { return s.options.Standing }
 
