--- a/internal/fleet/size.go
+++ b/internal/fleet/size.go
@@ -20,14 +20,16 @@
 	Gateways int
 	// Known says that no other gateways are expected. It is false until the gateway has
 	// heard from all seeds after settleTime, because a seed that it has not reached may be
-	// one of many that run cut off from it.
+	// one of many that run cut off from it. A gateway that is the only seed and has met no
+	// other needs not wait.
 	Known bool
 }
 
 // sizeState is the part of Members that Size reads.
 type sizeState struct {
-	known    bool
-	hasSeeds bool // other than this gateway
+	known bool
+	// hasSeeds says that other gateways are seeds, isOnlySeed that this one is and no other.
+	hasSeeds, isOnlySeed bool
 	// peaks are the highest counts in the present and in the previous window of Size;
 	// peakStart is the start of the present one.
 	peaks     [2]int
@@ -77,11 +79,12 @@
 		s.peaks[0], s.peakStart = 0, now
 	}
 	s.peaks[0] = max(s.peaks[0], m.countLocked(func(k *member) bool { return !k.wire.Leaving }))
-	n := max(s.peaks[0], s.peaks[1])
-	if n == 1 && s.hasSeeds && !s.known {
-		n = unmetFleetSize
+	switch n := max(s.peaks[0], s.peaks[1]); {
+	case n == 1 && s.hasSeeds && !s.known:
+		return Size{Gateways: unmetFleetSize}
+	default:
+		return Size{Gateways: n, Known: s.known || (n == 1 && s.isOnlySeed)}
 	}
-	return Size{Gateways: n, Known: s.known}
 }
 
 // findUnheardSeeds returns the seeds' gossip addresses from which nothing was heard since
@@ -92,8 +95,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.size.hasSeeds = slices.ContainsFunc(seeds, func(s string) bool { return s != m.self.GossipAddress })
-	alone := len(seeds) > 0 && !m.size.hasSeeds
-	if m.size.known || (now.Before(settled) && !alone) {
+	m.size.isOnlySeed = len(seeds) > 0 && !m.size.hasSeeds
+	if m.size.known || now.Before(settled) {
 		return nil
 	}
 	heard := map[string]bool{m.self.GossipAddress: true}
