--- a/internal/placement/budget.go
+++ b/internal/placement/budget.go
@@ -13,7 +13,7 @@
 	callSteps = 2*windowSteps - 1
 	// noiseDeviations is the number of standard deviations that chance is taken to explain
 	// in the number of calls in a window.
-	noiseDeviations = 2.0
+	noiseDeviations = 1.0
 	// usableRatioShare is the share of the allowed ratio that a budget uses. The windows
 	// of two entries can be offset by a step, so that with the full ratio the extra sends
 	// of all entries together could exceed it.
