--- a/internal/fleet/gossip.go
+++ b/internal/fleet/gossip.go
@@ -36,7 +36,7 @@
 	seedPerRound = 1.0
 	// maxSeedPause bounds the pause between two datagrams to a seed that was never heard. The
 	// first pause is gossipInterval, and it doubles each time.
-	maxSeedPause = 30 * time.Second
+	maxSeedPause = 10 * time.Second
 	// maxDatagramBytes is the size of the receive buffer.
 	maxDatagramBytes = 64 << 10
 )
@@ -49,9 +49,9 @@
 	seeds   func() []string
 	log     logs.Logger
 
-	// settled is settleTime after the start. Seeds that were not heard since then are asked
-	// at askSeedsAt, and again after askSeedsPause.
-	settled       time.Time
+	started time.Time
+	// Seeds that findUnheardSeeds returns are asked at askSeedsAt, and again after
+	// askSeedsPause.
 	askSeedsAt    time.Time
 	askSeedsPause time.Duration
 }
@@ -73,7 +73,7 @@
 	defer stop()
 	defer func() { _ = socket.Close() }()
 	go g.receive(socket)
-	g.settled = time.Now().Add(settleTime)
+	g.started = time.Now()
 	seen := 0
 	for {
 		pause := g.round(socket)
@@ -130,8 +130,12 @@
 // seedsToAsk returns the seeds to ask now because they were not heard yet. It waits longer
 // after each time, up to maxSeedPause.
 func (g *Gossip) seedsToAsk(now time.Time) []string {
-	unheard := g.members.findUnheardSeeds(g.seeds(), g.settled, now)
-	if len(unheard) == 0 || now.Before(g.askSeedsAt) {
+	unheard := g.members.findUnheardSeeds(g.seeds(), g.started, now)
+	switch {
+	case len(unheard) == 0:
+		g.askSeedsPause = 0
+		return nil
+	case now.Before(g.askSeedsAt):
 		return nil
 	}
 	g.askSeedsPause = min(max(2*g.askSeedsPause, gossipInterval), maxSeedPause)
--- a/internal/fleet/scale_test.go
+++ b/internal/fleet/scale_test.go
@@ -39,7 +39,7 @@
 		}
 		w := testMember(fmt.Sprintf("m%d", i), fmt.Sprintf("z%d", i%zones), capacity)
 		g := NewGossip(NewMembers(w), w.GossipAddress, seeds)
-		g.settled = now.Add(settleTime)
+		g.started = now
 		s.gateways, s.byAddr[w.GossipAddress] = append(s.gateways, g), g
 	}
 	return s
--- a/internal/fleet/size.go
+++ b/internal/fleet/size.go
@@ -9,6 +9,9 @@
 	// settleTime is the time after the start until a gateway has heard of nearly all others,
 	// see TestNewsReachesALargeFleet.
 	settleTime = 12 * gossipInterval
+	// stableTime is how long the count must not have grown before it may be that of the whole
+	// fleet. It grows step by step after a start and after the end of a cut.
+	stableTime = 4 * gossipInterval
 	// unmetFleetSize is the size that a gateway with seeds assumes of its fleet while it
 	// knows no other gateway.
 	unmetFleetSize = 100
@@ -19,9 +22,9 @@
 	// Gateways is the number of gateways known to share the limits, at least 1.
 	Gateways int
 	// Known says that no other gateways are expected. It is false until the gateway has
-	// heard from all seeds after settleTime, because a seed that it has not reached may be
-	// one of many that run cut off from it. A gateway that is the only seed and has met no
-	// other needs not wait.
+	// heard from all seeds after settleTime and stableTime, because a seed that it has not
+	// reached may be one of many that run cut off from it. A gateway that is the only seed and
+	// has met no other needs not wait.
 	Known bool
 }
 
@@ -30,6 +33,9 @@
 	known bool
 	// hasSeeds says that other gateways are seeds, isOnlySeed that this one is and no other.
 	hasSeeds, isOnlySeed bool
+	// largest is the highest count so far, and grownAt when it was reached.
+	largest int
+	grownAt time.Time
 	// peaks are the highest counts in the present and in the previous window of Size;
 	// peakStart is the start of the present one.
 	peaks     [2]int
@@ -62,6 +68,12 @@
 	return sum
 }
 
+// sharingLocked counts the gateways that may share the fleet's limits: those that are live,
+// and silent ones that have not left. The caller holds m.mu.
+func (m *Members) sharingLocked() int {
+	return m.countLocked(func(k *member) bool { return !k.wire.Leaving })
+}
+
 // Size returns the number of gateways by which a limit of the fleet is divided. A member
 // that falls silent without leaving counts until it is forgotten, because it may be cut off
 // and use its part. One that leaves counts until the end of the window after the one in
@@ -78,7 +90,7 @@
 		}
 		s.peaks[0], s.peakStart = 0, now
 	}
-	s.peaks[0] = max(s.peaks[0], m.countLocked(func(k *member) bool { return !k.wire.Leaving }))
+	s.peaks[0] = max(s.peaks[0], m.sharingLocked())
 	switch n := max(s.peaks[0], s.peaks[1]); {
 	case n == 1 && s.hasSeeds && !s.known:
 		return Size{Gateways: unmetFleetSize}
@@ -88,15 +100,27 @@
 }
 
 // findUnheardSeeds returns the seeds' gossip addresses from which nothing was heard since
-// the fleet has settled, for the caller to ask. Without any, the fleet's size is known from
-// now on. It is also known after forgetTimeout, since seeds may be stale. Callers give the
-// seeds from the start on, also before the fleet has settled.
-func (m *Members) findUnheardSeeds(seeds []string, settled, now time.Time) (unheard []string) {
+// settleTime after the start and stableTime after the count has grown, for the caller to ask.
+// Without any, the fleet's size is known from now on. It is also known after forgetTimeout,
+// since seeds may be stale. Callers call it in each gossipInterval from the start on.
+func (m *Members) findUnheardSeeds(seeds []string, started, now time.Time) (unheard []string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.size.hasSeeds = slices.ContainsFunc(seeds, func(s string) bool { return s != m.self.GossipAddress })
-	m.size.isOnlySeed = len(seeds) > 0 && !m.size.hasSeeds
-	if m.size.known || now.Before(settled) {
+	s := &m.size
+	s.hasSeeds = slices.ContainsFunc(seeds, func(seed string) bool { return seed != m.self.GossipAddress })
+	s.isOnlySeed = len(seeds) > 0 && !s.hasSeeds
+	if s.known {
+		return nil
+	}
+	sharing := m.sharingLocked()
+	if sharing > s.largest {
+		s.largest, s.grownAt = sharing, now
+	}
+	settled := started.Add(settleTime)
+	if stable := s.grownAt.Add(stableTime); stable.After(settled) {
+		settled = stable
+	}
+	if now.Before(settled) {
 		return nil
 	}
 	heard := map[string]bool{m.self.GossipAddress: true}
@@ -105,16 +129,15 @@
 			heard[k.wire.GossipAddress] = true
 		}
 	}
-	for _, s := range seeds {
-		if !heard[s] {
-			unheard = append(unheard, s)
+	for _, seed := range seeds {
+		if !heard[seed] {
+			unheard = append(unheard, seed)
 		}
 	}
-	if len(unheard) == 0 || now.Sub(settled) >= forgetTimeout {
-		m.size.known = true
-		m.log.With("gateways", m.countLocked(func(k *member) bool { return !k.wire.Leaving })).With("unheard_seeds", unheard).
-			Infof("size of the fleet is known")
-		return nil
+	if len(unheard) > 0 && now.Sub(started) < settleTime+forgetTimeout {
+		return unheard
 	}
-	return unheard
+	s.known = true
+	m.log.With("gateways", sharing).With("unheard_seeds", unheard).Infof("size of the fleet is known")
+	return nil
 }
--- a/internal/fleet/size_test.go
+++ b/internal/fleet/size_test.go
@@ -30,9 +30,9 @@
 	assert.Equal(t, gateways(silent), 3, "members that fell silent may be cut off")
 	m.Merge(nil, now.Add(forgetTimeout+time.Second)) // forgets them
 	assert.Equal(t, gateways(forgetTimeout+4*sizeWindow), 1)
-	m.findUnheardSeeds([]string{"a:2"}, now.Add(settleTime), now)
+	m.findUnheardSeeds([]string{"a:2"}, now, now)
 	assert.Equal(t, gateways(forgetTimeout+4*sizeWindow), 1, "its own address is the only seed")
-	m.findUnheardSeeds([]string{"a:2", "b:2"}, now.Add(settleTime), now)
+	m.findUnheardSeeds([]string{"a:2", "b:2"}, now, now)
 	assert.Equal(t, gateways(forgetTimeout+4*sizeWindow), unmetFleetSize, "cut off from the start on")
 }
 
@@ -71,19 +71,18 @@
 func TestSizeIsKnownInTheEndWithoutASeed(t *testing.T) {
 	m := newTestMembers(testMember("a", "x", 1), testMember("b", "x", 1))
 	settled := now.Add(settleTime)
+	seeds := []string{"a:2", "b:2", "gone:2"}
+	assert.DeepEqual(t, m.findUnheardSeeds(seeds, now, settled.Add(-stableTime)), []string(nil))
 	beat := testMember("b", "x", 1)
 	beat.Beat = 2
 	m.Merge([]*fleetwire.Member{beat}, settled)
-	seeds := []string{"a:2", "b:2", "gone:2"}
-	assert.DeepEqual(t, m.findUnheardSeeds(seeds, settled, settled.Add(-time.Second)), []string(nil))
-	assert.Assert(t, !m.Size(sizeWindow, settled).Known, "before the fleet has settled")
-	assert.DeepEqual(t, m.findUnheardSeeds(seeds, settled, settled), []string{"gone:2"})
+	assert.DeepEqual(t, m.findUnheardSeeds(seeds, now, settled), []string{"gone:2"})
 	assert.Assert(t, !m.Size(sizeWindow, settled).Known)
-	assert.DeepEqual(t, m.findUnheardSeeds(seeds, settled, settled.Add(forgetTimeout)), []string(nil))
+	assert.DeepEqual(t, m.findUnheardSeeds(seeds, now, settled.Add(forgetTimeout)), []string(nil))
 	assert.Assert(t, m.Size(sizeWindow, settled.Add(forgetTimeout)).Known)
 
 	m = newTestMembers(testMember("a", "x", 1))
-	m.findUnheardSeeds([]string{"a:2"}, settled, now)
+	m.findUnheardSeeds([]string{"a:2"}, now, now)
 	assert.DeepEqual(t, m.Size(sizeWindow, now), Size{Gateways: 1, Known: true})
 	m.Merge([]*fleetwire.Member{testMember("b", "x", 1)}, now)
 	assert.DeepEqual(t, m.Size(sizeWindow, now), Size{Gateways: 2})
