--- a/internal/fleet/gossip.go
+++ b/internal/fleet/gossip.go
@@ -34,7 +34,7 @@
 	// seedPerRound bounds their number like remotePerRound.
 	seedShare    = 0.05
 	seedPerRound = 1.0
-	// maxSeedPause bounds the pause between two datagrams to a seed that was never heard. The
+	// maxSeedPause bounds the pause between two datagrams to a seed that does not answer. The
 	// first pause is gossipInterval, and it doubles each time.
 	maxSeedPause = 10 * time.Second
 	// maxDatagramBytes is the size of the receive buffer.
--- a/internal/fleet/size.go
+++ b/internal/fleet/size.go
@@ -24,7 +24,7 @@
 	// Known says that no other gateways are expected. It is false until the gateway has
 	// heard from all seeds after settleTime and stableTime, because a seed that it has not
 	// reached may be one of many that run cut off from it. A gateway that is the only seed and
-	// has met no other needs not wait.
+	// has met no other need not wait.
 	Known bool
 }
 
--- a/internal/placement/budget.go
+++ b/internal/placement/budget.go
@@ -11,16 +11,16 @@
 	windowSteps = 20
 	// callSteps is the number of steps over which calls are averaged: two windows.
 	callSteps = 2*windowSteps - 1
-	// noiseDeviations is the number of standard deviations that chance is taken to explain
-	// in the number of calls in a window.
+	// noiseDeviations is how many standard deviations the calls of a window must be above the
+	// average before they count as a rise and not as chance.
 	noiseDeviations = 1.0
 	// usableRatioShare is the share of the allowed ratio that a budget uses. The windows
 	// of two entries can be offset by a step, so that with the full ratio the extra sends
 	// of all entries together could exceed it.
 	usableRatioShare = 0.9
 	// startShare is the share of the allowed ratio, and of the slack, that a budget uses in
-	// the first window after its process has started. Of the ratio it adds up to less than 1
-	// with usableRatioShare.
+	// the first window after its process has started, beside the usableRatioShare that an
+	// earlier process may have used.
 	startShare = 0.05
 )
 
@@ -101,10 +101,11 @@
 	return spent, b.ratio*min(usual, float64(recent)) + slack
 }
 
-// usualCalls returns the number of calls in a window apart from chance, given those of the
-// latest window and those of all steps: their average, or what is beyond chance in the
-// latest window. Extra sends that follow chance add up in a large fleet, because what an
-// entry spends while it has more calls than usual stays spent when it has fewer.
+// usualCalls returns the number of calls that a window usually has, given the calls of the
+// latest window and of all steps. It is the average, or the calls of the latest window less
+// what chance explains if these are more. With the calls of the latest window alone a large
+// fleet would exceed its budget, because what an entry spends while it has more calls than
+// usual stays spent when it has fewer.
 func usualCalls(recent, all, steps int) float64 {
 	average := float64(all) * windowSteps / float64(max(steps, windowSteps))
 	return max(average, float64(recent)-noiseDeviations*math.Sqrt(float64(recent)))
