fleet: Let one gateway of a data centre ask the seeds

Change: the gateway that ranks first in its data centre asks; its entry says how many gateways share the limits, once it knows, and the others take that.

--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -30,8 +30,8 @@
 	gossipMembers = 8
 	gossipLeaders = 5
 	gossipBeats   = 120
-	// maxFollowers is the most followers that an entry may claim, far above any data
-	// centre's.
+	// maxFollowers is the most followers, and gateways sharing limits, that an entry may
+	// claim, far above any data centre's.
 	maxFollowers = 100_000
 	// maxWanted bounds the entries that are requested at once, so that the reply fits
 	// into a frame.
@@ -88,7 +88,7 @@
 // selfEntryLocked returns a copy of this gateway's entry. The caller holds m.mu.
 func (m *Members) selfEntryLocked() *fleetwire.Member {
 	s := m.self
-	return &fleetwire.Member{Id: s.Id, Address: s.Address, Zone: s.Zone, Incarnation: s.Incarnation, Beat: s.Beat, Leaving: s.Leaving, GossipAddress: s.GossipAddress, Capacity: s.Capacity, Lost: s.Lost, Followers: s.Followers}
+	return &fleetwire.Member{Id: s.Id, Address: s.Address, Zone: s.Zone, Incarnation: s.Incarnation, Beat: s.Beat, Leaving: s.Leaving, GossipAddress: s.GossipAddress, Capacity: s.Capacity, Lost: s.Lost, Followers: s.Followers, Sharing: s.Sharing}
 }
 
 // Leave marks this gateway as leaving, which other gateways learn by gossip.
@@ -107,7 +107,7 @@
 
 // Merge takes over entries that are newer than the known ones, and removes members
 // whose last beat is older than forgetTimeout. Entries without an id or address are
-// ignored, and so are those that claim more than maxFollowers.
+// ignored, and so are those that claim more gateways than maxFollowers.
 func (m *Members) Merge(entries []*fleetwire.Member, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -116,7 +116,7 @@
 			m.raiseIncarnation(n)
 			continue
 		}
-		if n.GetId() == "" || n.GetAddress() == "" || n.GetFollowers() > maxFollowers {
+		if n.GetId() == "" || n.GetAddress() == "" || n.GetFollowers() > maxFollowers || n.GetSharing() > maxFollowers {
 			m.log.With("id", n.GetId()).With("address", n.GetAddress()).With("followers", n.GetFollowers()).Warnf("ignored an invalid entry of a member")
 			continue
 		}
--- a/internal/fleet/size.go
+++ b/internal/fleet/size.go
@@ -22,9 +22,9 @@
 	// Gateways is the number of gateways known to share the limits, at least 1.
 	Gateways int
 	// Known says that no other gateways are expected. It is false until the gateway has
-	// heard from all seeds after settleTime and stableTime, because a seed that it has not
-	// reached may be one of many that run cut off from it. A gateway that is the only seed and
-	// has met no other need not wait.
+	// heard from all seeds after settleTime and stableTime, or from a member of its data centre
+	// that has: a seed that was not reached may be one of many gateways that run cut off. A
+	// gateway that is the only seed and has met no other need not wait.
 	Known bool
 }
 
@@ -36,6 +36,8 @@
 	// largest is the highest count so far, and grownAt when it was reached.
 	largest int
 	grownAt time.Time
+	// told is the highest count that a member of the data centre reports.
+	told int
 	// peaks are the highest counts in the present and in the previous window of Size;
 	// peakStart is the start of the present one.
 	peaks     [2]int
@@ -90,7 +92,7 @@
 		}
 		s.peaks[0], s.peakStart = 0, now
 	}
-	s.peaks[0] = max(s.peaks[0], m.sharingLocked())
+	s.peaks[0] = max(s.peaks[0], m.sharingLocked(), s.told)
 	switch n := max(s.peaks[0], s.peaks[1]); {
 	case n == 1 && s.hasSeeds && !s.known:
 		return Size{Gateways: unmetFleetSize}
@@ -101,17 +103,16 @@
 
 // findUnheardSeeds returns the seeds' gossip addresses from which nothing was heard since
 // settleTime after the start and stableTime after the count has grown, for the caller to ask.
-// Without any, the fleet's size is known from now on. It is also known after forgetTimeout,
-// since seeds may be stale. Callers call it in each gossipInterval from the start on.
+// Only the gateway that ranks first in its data centre asks; the others hear from it. The
+// fleet's size is known from now on if no seed is unheard or a member of the data centre
+// knows it, and after forgetTimeout, since seeds may be stale. Callers call it in each
+// gossipInterval from the start on.
 func (m *Members) findUnheardSeeds(seeds []string, started, now time.Time) (unheard []string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := &m.size
 	s.hasSeeds = slices.ContainsFunc(seeds, func(seed string) bool { return seed != m.self.GossipAddress })
 	s.isOnlySeed = len(seeds) > 0 && !s.hasSeeds
-	if s.known {
-		return nil
-	}
 	sharing := m.sharingLocked()
 	if sharing > s.largest {
 		s.largest, s.grownAt = sharing, now
@@ -120,13 +121,20 @@
 	if stable := s.grownAt.Add(stableTime); stable.After(settled) {
 		settled = stable
 	}
-	if now.Before(settled) {
+	if !s.known && now.Before(settled) {
 		return nil
 	}
 	heard := map[string]bool{m.self.GossipAddress: true}
+	first := true
+	s.told = 0
 	for _, k := range m.known {
-		if !k.heardAt.Before(settled) {
-			heard[k.wire.GossipAddress] = true
+		recent := !k.heardAt.Before(settled)
+		heard[k.wire.GossipAddress] = recent
+		if k.wire.Zone == m.self.Zone && k.live(now) {
+			first = first && compareRank(m.self, k.wire) < 0
+			if recent {
+				s.told = max(s.told, int(k.wire.Sharing))
+			}
 		}
 	}
 	for _, seed := range seeds {
@@ -134,10 +142,16 @@
 			unheard = append(unheard, seed)
 		}
 	}
-	if len(unheard) > 0 && now.Sub(started) < settleTime+forgetTimeout {
-		return unheard
+	if !s.known && (len(unheard) == 0 || s.told > 0 || now.Sub(started) >= settleTime+forgetTimeout) {
+		s.known = true
+		m.log.With("gateways", max(sharing, s.told)).With("unheard_seeds", unheard).Infof("size of the fleet is known")
+	}
+	switch {
+	case s.known:
+		m.self.Sharing = uint32(sharing) //nolint:gosec // a count of gateways
+		return nil
+	case !first:
+		return nil
 	}
-	s.known = true
-	m.log.With("gateways", sharing).With("unheard_seeds", unheard).Infof("size of the fleet is known")
-	return nil
+	return unheard
 }
