fleet: Assume no size for a fleet that was not met

A gateway with seeds that had met no other gateway assumed a fleet of 100 for its health checks and connections. Small fleets got two connections to a server until the limits were adapted, within a second of the first contact.

The retry slack is not concerned; without contact there is none.

--- a/internal/fleet/size.go
+++ b/internal/fleet/size.go
@@ -12,9 +12,6 @@
 	// stableTime is how long the count must not have grown before it may be that of the whole
 	// fleet. It grows step by step after a start and after the end of a cut.
 	stableTime = 4 * gossipInterval
-	// unmetFleetSize is the size that a gateway with seeds assumes of its fleet while it
-	// knows no other gateway.
-	unmetFleetSize = 100
 )
 
 // Size is what a gateway knows of the number of gateways that share the fleet's limits.
@@ -31,8 +28,8 @@
 // sizeState is the part of Members that Size reads.
 type sizeState struct {
 	known bool
-	// hasSeeds says that other gateways are seeds, isOnlySeed that this one is and no other.
-	hasSeeds, isOnlySeed bool
+	// isOnlySeed says that this gateway is a seed and no other is.
+	isOnlySeed bool
 	// largest is the highest count so far, and grownAt when it was reached.
 	largest int
 	grownAt time.Time
@@ -93,12 +90,8 @@
 		s.peaks[0], s.peakStart = 0, now
 	}
 	s.peaks[0] = max(s.peaks[0], m.sharingLocked(), s.told)
-	switch n := max(s.peaks[0], s.peaks[1]); {
-	case n == 1 && s.hasSeeds && !s.known:
-		return Size{Gateways: unmetFleetSize}
-	default:
-		return Size{Gateways: n, Known: s.known || (n == 1 && s.isOnlySeed)}
-	}
+	n := max(s.peaks[0], s.peaks[1])
+	return Size{Gateways: n, Known: s.known || (n == 1 && s.isOnlySeed)}
 }
 
 // findUnheardSeeds returns the seeds' gossip addresses from which nothing was heard since
@@ -111,8 +104,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := &m.size
-	s.hasSeeds = slices.ContainsFunc(seeds, func(seed string) bool { return seed != m.self.GossipAddress })
-	s.isOnlySeed = len(seeds) > 0 && !s.hasSeeds
+	others := slices.ContainsFunc(seeds, func(seed string) bool { return seed != m.self.GossipAddress })
+	s.isOnlySeed = len(seeds) > 0 && !others
 	sharing := m.sharingLocked()
 	if sharing > s.largest {
 		s.largest, s.grownAt = sharing, now
