--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -90,6 +90,8 @@
 type View struct {
 	Table   *routing.Table
 	Servers []Server
+	// Evacuated holds the data centres whose servers are to get nothing.
+	Evacuated map[string]bool
 	// Revision is the store's revision.
 	Revision uint64
 }
@@ -392,7 +394,7 @@
 		return
 	}
 	if f.state.Known() {
-		f.options.Publish(View{Table: f.state.Table(), Servers: f.state.Servers(), Revision: f.state.Revision()})
+		f.options.Publish(View{Table: f.state.Table(), Servers: f.state.Servers(), Evacuated: f.state.Evacuated(), Revision: f.state.Revision()})
 	}
 	f.mu.Lock()
 	f.full = f.state.Full()
--- a/internal/discovery/state.go
+++ b/internal/discovery/state.go
@@ -61,6 +61,9 @@
 	Table(item Item) (table *routing.Table, ok bool, err error)
 	// Server decodes a server's record; ok is false if the item is something else.
 	Server(item Item) (server Server, ok bool, err error)
+	// Evacuation decodes a request that the servers of a data centre get nothing, which
+	// holds until the item is deleted; ok is false if the item is something else.
+	Evacuation(item Item) (dataCentre string, ok bool, err error)
 }
 
 // recoveryGrace is how long a missing server is kept after the store recovers. The
@@ -73,10 +76,12 @@
 
 // State is a gateway's copy of the store. It is not safe for concurrent use.
 type State struct {
-	decoder      Decoder
-	log          logs.Logger
-	items        map[string]Item
-	servers      map[string]Server
+	decoder Decoder
+	log     logs.Logger
+	items   map[string]Item
+	servers map[string]Server
+	// evacuations holds the data centres to evacuate by the keys of the requests.
+	evacuations  map[string]string
 	table        *routing.Table
 	listReceived bool // a full batch was applied
 	revision     uint64
@@ -96,7 +101,7 @@
 func NewState(d Decoder) *State {
 	return &State{
 		decoder: d, log: logs.For("discovery"),
-		items: make(map[string]Item), servers: make(map[string]Server), missing: make(map[string]struct{}),
+		items: make(map[string]Item), servers: make(map[string]Server), evacuations: make(map[string]string), missing: make(map[string]struct{}),
 	}
 }
 
@@ -163,6 +168,10 @@
 		s.applyTable(table, err)
 		return true
 	}
+	if dataCentre, ok, err := s.decoder.Evacuation(item); ok {
+		s.applyEvacuation(item, dataCentre, err)
+		return true
+	}
 	server, ok, err := s.decoder.Server(item)
 	switch {
 	case err != nil:
@@ -186,6 +195,17 @@
 	}
 }
 
+func (s *State) applyEvacuation(item Item, dataCentre string, err error) {
+	if err != nil {
+		s.log.With("key", item.Key).Errorf("invalid request to evacuate a data centre, ignored: %v", err)
+		return
+	}
+	if _, known := s.evacuations[item.Key]; !known {
+		s.log.With("data_centre", dataCentre).With("revision", item.Revision).Infof("evacuation begins: the servers of the data centre get nothing")
+	}
+	s.evacuations[item.Key] = dataCentre
+}
+
 func (s *State) applyServer(key string, server Server) {
 	old, known := s.servers[key]
 	s.servers[key] = server
@@ -212,6 +232,10 @@
 	delete(s.items, item.Key)
 	delete(s.servers, item.Key)
 	delete(s.missing, item.Key)
+	if dataCentre, ok := s.evacuations[item.Key]; ok {
+		delete(s.evacuations, item.Key)
+		s.log.With("data_centre", dataCentre).With("revision", item.Revision).Infof("evacuation ends: the servers of the data centre get requests again")
+	}
 	if isServer {
 		s.log.With("server", server.ID).With("service", server.Service).With("revision", item.Revision).Infof("server gone")
 	}
@@ -256,6 +280,15 @@
 // Revision returns the store's revision up to which the state is current.
 func (s *State) Revision() uint64 { return s.revision }
 
+// Evacuated returns the data centres whose servers are to get nothing.
+func (s *State) Evacuated() map[string]bool {
+	out := make(map[string]bool, len(s.evacuations))
+	for _, dataCentre := range s.evacuations {
+		out[dataCentre] = true
+	}
+	return out
+}
+
 // Servers returns the servers in no particular order.
 func (s *State) Servers() []Server {
 	out := make([]Server, 0, len(s.servers))
--- a/internal/discovery/state_test.go
+++ b/internal/discovery/state_test.go
@@ -30,6 +30,14 @@
 	return table, true, err
 }
 
+func (textDecoder) Evacuation(item Item) (string, bool, error) {
+	dataCentre, ok := strings.CutPrefix(item.Key, "evacuate/")
+	if ok && dataCentre == "" {
+		return "", true, errors.New("no data centre")
+	}
+	return dataCentre, ok, nil
+}
+
 func (textDecoder) Server(item Item) (Server, bool, error) {
 	id, ok := strings.CutPrefix(item.Key, "s/")
 	if !ok {
@@ -178,3 +186,21 @@
 	s.Apply(Batch{RetainsUnlisted: true}, end)
 	assert.Assert(t, s.RetainsUnlisted(end.Add(removalPropagation)), "the source retains servers")
 }
+
+// Guards against an evacuation that ends or begins without the operator's word: by an older
+// list, by an entry that can't be read, or unnoticed when the watch was lost.
+func TestEvacuationHoldsUntilItsKeyIsGone(t *testing.T) {
+	s := newListedState(t)
+	changed := s.Apply(Batch{Revision: 13, Items: []Item{put("evacuate/x", "{}", 12), put("evacuate/", "{}", 13)}}, startTime)
+	assert.Equal(t, len(changed), 2)
+	assert.DeepEqual(t, s.Evacuated(), map[string]bool{"x": true})
+	assert.Equal(t, serverIDs(s), "a b", "servers stay listed")
+	s.Apply(Batch{Full: true, Revision: 11, Items: []Item{put("config", "3", 2)}}, startTime)
+	assert.DeepEqual(t, s.Evacuated(), map[string]bool{"x": true}) // the list was older
+	s.StoreRecovered(startTime)
+	s.Apply(Batch{Full: true, Revision: 20, Items: []Item{put("config", "3", 2), put("s/a", "up", 4), put("s/b", "up", 5), put("evacuate/y", "{}", 18)}}, startTime)
+	assert.DeepEqual(t, s.Evacuated(), map[string]bool{"y": true}) // x was taken back while the watch was lost
+	s.Apply(Batch{Revision: 21, Items: []Item{{Key: "evacuate/y", Revision: 21, Deleted: true}}}, startTime)
+	assert.Equal(t, len(s.Evacuated()), 0)
+	assert.Equal(t, serverIDs(s), "a b")
+}
--- a/internal/fleet/lost_source_test.go
+++ b/internal/fleet/lost_source_test.go
@@ -30,6 +30,8 @@
 	return table, true, err
 }
 
+func (plainDecoder) Evacuation(discovery.Item) (string, bool, error) { return "", false, nil }
+
 func (plainDecoder) Server(item discovery.Item) (discovery.Server, bool, error) {
 	return discovery.Server{ID: item.Key, Leaving: len(item.Value) > 0}, true, nil
 }
--- a/internal/fleet/size.go
+++ b/internal/fleet/size.go
@@ -18,6 +18,8 @@
 type Size struct {
 	// Gateways is the number of gateways known to share the limits, at least 1.
 	Gateways int
+	// Local is the number of those that are in this gateway's data centre, at least 1.
+	Local int
 	// Known says that no other gateways are expected. It is false until the gateway has
 	// heard from all seeds after settleTime and stableTime, or from a member of its data centre
 	// that has: a seed that was not reached may be one of many gateways that run cut off. A
@@ -35,10 +37,11 @@
 	grownAt time.Time
 	// told is the highest count that a member of the data centre reports.
 	told int
-	// peaks are the highest counts in the present and in the previous window of Size;
-	// peakStart is the start of the present one.
-	peaks     [2]int
-	peakStart time.Time
+	// peaks are the highest counts in the present and in the previous window of Size, and
+	// localPeaks those of the own data centre; peakStart is the start of the present one.
+	peaks      [2]int
+	localPeaks [2]int
+	peakStart  time.Time
 }
 
 // LiveCount returns the number of live gateways, this one included. Of each data centre it
@@ -52,6 +55,16 @@
 // countLocked counts the gateways as LiveCount does, from the members for which keep is
 // true. The caller holds m.mu.
 func (m *Members) countLocked(keep func(*member) bool) int {
+	sum := 0
+	for _, n := range m.countZonesLocked(keep) {
+		sum += n
+	}
+	return sum
+}
+
+// countZonesLocked counts the gateways of each data centre as LiveCount does, from the members
+// for which keep is true. The caller holds m.mu.
+func (m *Members) countZonesLocked(keep func(*member) bool) map[string]int {
 	type count struct{ known, following int }
 	zones := map[string]count{m.self.Zone: {known: 1, following: 1 + int(m.self.Followers)}}
 	for _, k := range m.known {
@@ -60,18 +73,19 @@
 			zones[k.wire.Zone] = count{c.known + 1, max(c.following, 1+int(k.wire.Followers))}
 		}
 	}
-	sum := 0
-	for _, c := range zones {
-		sum += max(c.known, c.following)
+	out := make(map[string]int, len(zones))
+	for zone, c := range zones {
+		out[zone] = max(c.known, c.following)
 	}
-	return sum
+	return out
 }
 
 // sharingLocked counts the gateways that may share the fleet's limits: those that are live,
 // and silent ones that have not left. The caller holds m.mu.
-func (m *Members) sharingLocked() int {
-	return m.countLocked(func(k *member) bool { return !k.wire.Leaving })
-}
+func (m *Members) sharingLocked() int { return m.countLocked(hasNotLeft) }
+
+// hasNotLeft reports whether a member may use its part of the fleet's limits.
+func hasNotLeft(k *member) bool { return !k.wire.Leaving }
 
 // Size returns the number of gateways by which a limit of the fleet is divided. A member
 // that falls silent without leaving counts until it is forgotten, because it may be cut off
@@ -83,15 +97,21 @@
 	defer m.mu.Unlock()
 	s := &m.size
 	if passed := now.Sub(s.peakStart); passed >= window {
-		s.peaks[1] = s.peaks[0]
+		s.peaks[1], s.localPeaks[1] = s.peaks[0], s.localPeaks[0]
 		if passed >= 2*window {
-			s.peaks[1] = 0
+			s.peaks[1], s.localPeaks[1] = 0, 0
 		}
-		s.peaks[0], s.peakStart = 0, now
+		s.peaks[0], s.localPeaks[0], s.peakStart = 0, 0, now
+	}
+	sharing := 0
+	zones := m.countZonesLocked(hasNotLeft)
+	for _, n := range zones {
+		sharing += n
 	}
-	s.peaks[0] = max(s.peaks[0], m.sharingLocked(), s.told)
+	s.peaks[0] = max(s.peaks[0], sharing, s.told)
+	s.localPeaks[0] = max(s.localPeaks[0], zones[m.self.Zone])
 	n := max(s.peaks[0], s.peaks[1])
-	return Size{Gateways: n, Known: s.known || (n == 1 && s.isOnlySeed)}
+	return Size{Gateways: n, Local: max(s.localPeaks[0], s.localPeaks[1]), Known: s.known || (n == 1 && s.isOnlySeed)}
 }
 
 // findUnheardSeeds returns the seeds' gossip addresses from which nothing was heard since
--- a/internal/fleet/size_test.go
+++ b/internal/fleet/size_test.go
@@ -16,14 +16,18 @@
 func TestPartsOfMembersThatAreGoneStayReserved(t *testing.T) {
 	m := newTestMembers(testMember("a", "x", 1), testMember("b", "x", 1), testMember("c", "y", 1), testMember("d", "y", 1))
 	gateways := func(at time.Duration) int { return m.Size(sizeWindow, now.Add(at)).Gateways }
+	local := func(at time.Duration) int { return m.Size(sizeWindow, now.Add(at)).Local }
 	assert.Equal(t, gateways(0), 4)
+	assert.Equal(t, local(0), 2)
 	leaving := testMember("b", "x", 1)
 	leaving.Beat, leaving.Leaving = 2, true
 	m.Merge([]*fleetwire.Member{leaving}, now)
 	assert.Equal(t, m.LiveCount(now), 3)
 	assert.Equal(t, gateways(sizeWindow-time.Second), 4)
 	assert.Equal(t, gateways(sizeWindow+time.Second), 4, "within a window of the loss")
+	assert.Equal(t, local(sizeWindow+time.Second), 2)
 	assert.Equal(t, gateways(4*sizeWindow), 3, "the member that left")
+	assert.Equal(t, local(4*sizeWindow), 1)
 
 	silent := forgetTimeout - time.Second
 	assert.Equal(t, m.LiveCount(now.Add(silent)), 1, "no beats for liveTimeout")
@@ -83,7 +87,7 @@
 
 	m = newTestMembers(testMember("a", "x", 1))
 	m.findUnheardSeeds([]string{"a:2"}, now, now)
-	assert.DeepEqual(t, m.Size(sizeWindow, now), Size{Gateways: 1, Known: true})
+	assert.DeepEqual(t, m.Size(sizeWindow, now), Size{Gateways: 1, Local: 1, Known: true})
 	m.Merge([]*fleetwire.Member{testMember("b", "x", 1)}, now)
-	assert.DeepEqual(t, m.Size(sizeWindow, now), Size{Gateways: 2})
+	assert.DeepEqual(t, m.Size(sizeWindow, now), Size{Gateways: 2, Local: 2})
 }
--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -106,7 +106,7 @@
 func leftOutTargets(svc *service, tried map[*upstream.Server]bool, now time.Time) []*target {
 	var out []*target
 	for _, t := range slices.Concat(svc.local, svc.remote) {
-		if !tried[t.server] && !t.health.inBackoff(now) && t.available(now) {
+		if !tried[t.server] && !t.health.inBackoff(now) && t.available(now) && t.cold.isOpen(now) {
 			out = append(out, t)
 		}
 	}
@@ -257,6 +257,7 @@
 		return nil
 	}
 	t.health.recordAnsweredCheck(h.Load, h.HasLoad)
+	t.recordWarmup(h, now)
 	if !h.HasLoad && h.OK {
 		svc.state.loadUnreported.Store(true)
 	}
@@ -267,6 +268,18 @@
 	return &leasedServer{target: t, lease: lease, candidate: t.candidate(now), answeredAt: now}
 }
 
+// recordWarmup takes what a health check tells of the server's warm-up.
+func (t *target) recordWarmup(h upstream.Health, now time.Time) {
+	switch {
+	case h.HasWarmupLeft:
+		t.cold.told(h.WarmupLeft, now)
+	case h.UnreadableWarmup != "" && t.health.firstUnreadableWarmup():
+		const maxText = 40
+		standingLog.With("server", t.info.ID).With("service", t.info.Service).With("warmup_left", h.UnreadableWarmup[:min(len(h.UnreadableWarmup), maxText)]).
+			Warnf("server tells its warm-up in a way that can't be used; what its record says holds")
+	}
+}
+
 // chooseUnchecked chooses a server by its last known state, without a health check. It
 // serves services whose servers don't report their load, and requests for which no
 // server answers in time.
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -65,7 +65,7 @@
 		if ls == nil {
 			return s.failureAnswer(refused)
 		}
-		if !ls.target.available(time.Now()) { // it has just asked to be left alone
+		if !ls.target.claim(time.Now()) {
 			ls.release()
 			continue
 		}
--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -34,6 +34,16 @@
 	sentAt                time.Time // when the last call was sent
 	refusals              placement.Refusals
 	averageLatencySeconds float64 // moving average of calls that did not fail; starts at 0
+	unreadableWarmup      bool    // an unreadable warm-up was reported
+}
+
+// firstUnreadableWarmup reports once that the server tells its warm-up in an unreadable way.
+func (h *health) firstUnreadableWarmup() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	first := !h.unreadableWarmup
+	h.unreadableWarmup = true
+	return first
 }
 
 // recordCall updates the failure rate with the end of a call, and the average
@@ -122,8 +132,7 @@
 const loadReportDelay = 3 * time.Millisecond
 
 const (
-	// warmupSlowness is how many times longer a call takes at a server that is warming
-	// up.
+	// warmupSlowness is how many times longer a call takes at a cold server.
 	warmupSlowness = 2.0
 	// defaultSlowness is assumed of a server that doesn't report its slowness.
 	defaultSlowness = 1.0
@@ -143,7 +152,7 @@
 	} else {
 		c.Running = t.server.InFlight()
 	}
-	if now.Before(t.warmupUntil) && c.Slowness < warmupSlowness {
+	if t.cold.isCold(now) && c.Slowness < warmupSlowness {
 		c.Slowness *= warmupSlowness
 	}
 	return c
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -43,6 +43,22 @@
 	metrics.GetOrCreateCounter(`baobabstack_gateway_servers_left_alone_total{reason="` + reason + `"}`).Inc()
 }
 
+// reportEvacuated reports the number of data centres whose servers get nothing.
+func reportEvacuated(n int) {
+	metrics.GetOrCreateGauge("baobabstack_gateway_evacuated_data_centres", nil).Set(float64(n))
+}
+
+// countColdSend counts a request that is sent to a cold server.
+func countColdSend(service string) {
+	metrics.GetOrCreateCounter(`baobabstack_gateway_cold_sends_total{service="` + service + `"}`).Inc()
+}
+
+// countWithheld counts a request that is not sent to the server chosen for it, because that is
+// cold and it is not this gateway's turn.
+func countWithheld(service string) {
+	metrics.GetOrCreateCounter(`baobabstack_gateway_cold_withheld_total{service="` + service + `"}`).Inc()
+}
+
 // countExtraSend counts an extra send that the service's retry budget allowed or refused.
 func countExtraSend(service string, granted bool) {
 	result := "over-budget"
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -58,6 +58,8 @@
 	switch {
 	case demand.TimeLeft <= 0 || ctx.Err() != nil:
 		return "deadline"
+	case len(s.service.local)+len(s.service.remote) == 0 && s.service.evacuated > 0:
+		return "all-evacuated"
 	case len(s.service.local)+len(s.service.remote) == 0:
 		return "no-server"
 	case stop.endsBefore(s.request, demand, now):
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -12,6 +12,7 @@
 
 	"github.com/baobabstack/baobabstack/internal/defect"
 	"github.com/baobabstack/baobabstack/internal/discovery"
+	"github.com/baobabstack/baobabstack/internal/logs"
 	"github.com/baobabstack/baobabstack/internal/memory"
 	"github.com/baobabstack/baobabstack/internal/placement"
 	"github.com/baobabstack/baobabstack/internal/routing"
@@ -31,7 +32,9 @@
 	name   string
 	local  []*target
 	remote []*target
-	state  *serviceState
+	// evacuated is the number of servers left out because their data centre is evacuated.
+	evacuated int
+	state     *serviceState
 }
 
 // serviceState is the state of a service that is kept across changes of the
@@ -54,22 +57,27 @@
 	checkOrder uint64
 	server     *upstream.Server
 	health     *health
-	// warmupUntil is when the server is expected to reach full speed after its start.
-	warmupUntil time.Time
+	// evacuated says that the server's data centre gets nothing. All targets of a data centre
+	// share it, so that it also holds for requests that use an earlier snapshot.
+	evacuated *atomic.Bool
+	cold      *coldServer
 }
 
 // registry builds snapshots. Only the control goroutine uses it.
 type registry struct {
 	options  *Options
+	log      logs.Logger
 	answers  *memory.FairBudget // for the answers of all servers
 	targets  map[string]*target
 	services map[string]*serviceState
+	// evacuated says of each data centre whether its servers get nothing.
+	evacuated map[string]*atomic.Bool
 	// standings holds what each run of a server has asked for.
 	standings map[serverRun]*keptStanding
 }
 
 func newRegistry(o *Options) *registry {
-	return &registry{options: o, answers: newAnswerBudget(o.Settings.VM.MemoryMB), targets: make(map[string]*target), services: make(map[string]*serviceState), standings: make(map[serverRun]*keptStanding)}
+	return &registry{options: o, log: logs.For("gateway"), answers: newAnswerBudget(o.Settings.VM.MemoryMB), targets: make(map[string]*target), services: make(map[string]*serviceState), evacuated: make(map[string]*atomic.Bool), standings: make(map[serverRun]*keptStanding)}
 }
 
 // build returns the snapshot of a view. It closes the connections to servers that are no
@@ -79,6 +87,7 @@
 	for name := range v.Table.Services {
 		s.services[name] = &service{name: name, state: r.serviceState(name)}
 	}
+	r.evacuate(v)
 	gateways := r.options.fleetSize(now).Gateways
 	next := make(map[string]*target, len(v.Servers))
 	for _, info := range v.Servers {
@@ -92,6 +101,10 @@
 			continue
 		}
 		svc := s.services[info.Service]
+		if t.evacuated.Load() {
+			svc.evacuated++
+			continue
+		}
 		if t.remote {
 			svc.remote = append(svc.remote, t)
 		} else {
@@ -112,6 +125,44 @@
 	return s
 }
 
+// evacuate sets which data centres get nothing.
+func (r *registry) evacuate(v discovery.View) {
+	if defect.On("gateway-ignore-evacuation") {
+		return
+	}
+	servers := make(map[string]int)
+	for _, info := range v.Servers {
+		servers[info.Zone]++
+	}
+	for dataCentre := range v.Evacuated {
+		if r.evacuation(dataCentre).Swap(true) {
+			continue
+		}
+		l := r.log.With("data_centre", dataCentre).With("servers", servers[dataCentre]).With("revision", v.Revision)
+		if servers[dataCentre] == 0 {
+			l.Warnf("evacuation of a data centre in which no server is listed: check its name")
+			continue
+		}
+		l.Infof("data centre evacuated: its servers get nothing")
+	}
+	for dataCentre, evacuated := range r.evacuated {
+		if !v.Evacuated[dataCentre] && evacuated.Swap(false) {
+			r.log.With("data_centre", dataCentre).With("servers", servers[dataCentre]).With("revision", v.Revision).Infof("data centre taken back: its servers get requests")
+		}
+	}
+	reportEvacuated(len(v.Evacuated))
+}
+
+// evacuation returns the state of a data centre, which it creates on first use.
+func (r *registry) evacuation(dataCentre string) *atomic.Bool {
+	e, ok := r.evacuated[dataCentre]
+	if !ok {
+		e = new(atomic.Bool)
+		r.evacuated[dataCentre] = e
+	}
+	return e
+}
+
 // checkOrder returns the key by which a server is sorted into this gateway's order of
 // checks. A stable order keeps most connections of one gateway on few servers. The order
 // differs between gateways, and a server that joins or leaves doesn't move the others.
@@ -139,16 +190,18 @@
 func (r *registry) target(info discovery.Server, configured routing.Service, limit int, now time.Time) *target {
 	old, ok := r.targets[info.ID]
 	standing := r.standing(info)
+	rule := r.coldRule(configured)
 	if ok && old.info == info {
 		old.server.SetConnectionLimit(limit)
+		old.cold.setRule(rule)
 		return old
 	}
 	same := ok && old.info.Address == info.Address && old.info.Service == info.Service && old.info.StartedMs == info.StartedMs
-	t := &target{info: info, remote: info.Zone != r.options.Settings.Entry.DataCentre, warmupUntil: now.Add(info.Warmup)}
+	t := &target{info: info, remote: info.Zone != r.options.Settings.Entry.DataCentre, evacuated: r.evacuation(info.Zone)}
 	if same {
-		t.server, t.health, t.checkOrder = old.server, old.health, old.checkOrder
-		if info.Warmup > 0 && info.Warmup >= old.info.Warmup {
-			t.warmupUntil = old.warmupUntil
+		t.server, t.health, t.checkOrder, t.cold = old.server, old.health, old.checkOrder, old.cold
+		if info.Warmup != old.info.Warmup {
+			t.cold.listed(info.Warmup, now)
 		}
 	} else {
 		t.server = upstream.NewServer(upstream.Options{
@@ -158,7 +211,10 @@
 		})
 		t.health = &health{}
 		t.checkOrder = r.checkOrder(info.ID)
+		t.cold = newColdServer(t.checkOrder, !t.remote, r.options.fleetSize)
+		t.cold.listed(info.Warmup, now)
 	}
+	t.cold.setRule(rule)
 	t.server.SetConnectionLimit(limit)
 	return t
 }
--- a/internal/gateway/standing.go
+++ b/internal/gateway/standing.go
@@ -82,19 +82,23 @@
 	onTrial
 	// leftOut servers take a call only if no other server can.
 	leftOut
-	// closed servers take no call: they leave or have asked for a pause.
+	// closed servers take no call: they leave, have asked for a pause, are in a data centre that
+	// is evacuated, or are cold and it is not this gateway's turn.
 	closed
 )
 
-// available reports whether the server wants requests at all.
-func (t *target) available(now time.Time) bool { return t.server.Standing().Available(now) }
+// available reports whether the server may get requests: it wants them, and its data centre is
+// not evacuated.
+func (t *target) available(now time.Time) bool {
+	return t.server.Standing().Available(now) && !t.evacuated.Load()
+}
 
 // restraint returns whether a call may go to the server; sends is the number of calls that
 // this gateway has sent to the service, and draw a random number from 0 to 1.
 func (t *target) restraint(sends int, draw float64, now time.Time) restraint {
 	standing := t.server.Standing()
 	switch {
-	case !standing.Available(now):
+	case !t.available(now), !t.cold.isOpen(now):
 		return closed
 	case t.health.leftOut():
 		if t.health.claimTrial(sends, now) {
@@ -111,17 +115,17 @@
 	return unrestrained
 }
 
-// closedUntil reports whether no server of the service wants requests, and when the first of
-// the pauses ends. The time is zero if all servers leave.
+// closedUntil reports whether no server of the service may get requests, and when the first of
+// the pauses ends. The time is zero if all servers leave or are evacuated.
 func (s *service) closedUntil(now time.Time) (time.Time, bool) {
 	var earliest time.Time
 	for _, list := range [][]*target{s.local, s.remote} {
 		for _, t := range list {
 			standing := t.server.Standing()
 			switch until, _ := standing.LastPause(); {
-			case standing.Available(now):
+			case t.available(now):
 				return time.Time{}, false
-			case standing.Leaving():
+			case standing.Leaving() || t.evacuated.Load():
 			case earliest.IsZero() || until.Before(earliest):
 				earliest = until
 			}
--- a/internal/gateway/standing_test.go
+++ b/internal/gateway/standing_test.go
@@ -53,10 +53,7 @@
 
 func TestClosedServiceTellsWhenTheFirstPauseEnds(t *testing.T) {
 	now := time.Now()
-	server := func() *target {
-		return &target{server: upstream.NewServer(upstream.Options{Dialect: &upstream.Dialect{}})}
-	}
-	a, b := server(), server()
+	a, b := testTarget(), testTarget()
 	s := &service{local: []*target{a}, remote: []*target{b}}
 	_, closed := s.closedUntil(now)
 	assert.Assert(t, !closed)
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -78,7 +78,7 @@
 		return nil
 	}
 	second := d.findServer(ctx, s.service, demand, s.tried)
-	if second == nil || !placement.ShouldHedge(second.candidate, demand) || !d.takeExtraSend(s.request) {
+	if second == nil || !placement.ShouldHedge(second.candidate, demand) || !second.target.claim(time.Now()) || !d.takeExtraSend(s.request) {
 		second.release()
 		return nil
 	}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -65,6 +65,9 @@
 	// MaxConnections limits the connections of all callers to one server; 0 means
 	// unlimited.
 	MaxConnections int
+	// WarmupRate is the number of requests per second that a cold server tolerates, from all
+	// callers together; 0 means unlimited.
+	WarmupRate float64
 }
 
 // Limits restrict the size and the duration of callers' requests.
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -69,6 +69,11 @@
 	RetryWindow Duration `toml:"retry_window"`
 	// ProbesPerSecond bounds the health checks that one server gets.
 	ProbesPerSecond float64 `toml:"probes_per_second"`
+	// ColdOverage and ColdSlack bound the requests that a cold server gets in a second: the
+	// rate that its service's configuration states, times ColdOverage, plus ColdSlack. Both
+	// are 0 where there is no bound.
+	ColdOverage float64 `toml:"cold_overage"`
+	ColdSlack   float64 `toml:"cold_slack"`
 }
 
 // GatewayStop configures a gateway's graceful stop.
@@ -105,7 +110,7 @@
 	}
 	c.duration("budgets.retry_window", s.Budgets.RetryWindow)
 	c.duration("stop.grace", s.Stop.Grace)
-	if s.Budgets.RetryRatio < 0 || s.Budgets.RetrySlack < 0 || s.Budgets.ProbesPerSecond < 0 {
+	if s.Budgets.RetryRatio < 0 || s.Budgets.RetrySlack < 0 || s.Budgets.ProbesPerSecond < 0 || s.Budgets.ColdOverage < 0 || s.Budgets.ColdSlack < 0 {
 		c.add("budgets", "has a negative number", "use 0 or more")
 	}
 	c.level(s.Log.Level)
--- a/internal/upstream/dialect.go
+++ b/internal/upstream/dialect.go
@@ -15,6 +15,9 @@
 	ServerID string
 	// Load carries the load of the server.
 	Load string
+	// WarmupLeft says in the answer to a health check how long the server stays cold. A
+	// server without it is as its record says.
+	WarmupLeft string
 	// LoadCountsCall says that the load in an answer still counts the answered call as
 	// running.
 	LoadCountsCall bool
@@ -26,6 +29,8 @@
 	Leaving string
 	// ParseLoad parses the load header; it returns false if the value is malformed.
 	ParseLoad func(value string) (Load, bool)
+	// ParseWarmupLeft parses the value of WarmupLeft; it returns false if it is malformed.
+	ParseWarmupLeft func(value string) (time.Duration, bool)
 }
 
 // Load is the load that a server reports.
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -95,6 +95,11 @@
 	// Load is the load that the server reported; HasLoad is false without a valid one.
 	Load    Load
 	HasLoad bool
+	// WarmupLeft is how long the server says that it stays cold; HasWarmupLeft is false if it
+	// does not say so, and UnreadableWarmup is what it says if that can't be used.
+	WarmupLeft       time.Duration
+	HasWarmupLeft    bool
+	UnreadableWarmup string
 }
 
 // Lease is the exclusive use of a connection. It carries one call at a time until it is
@@ -158,6 +163,11 @@
 	id := m.header.Get(d.ServerID)
 	health := Health{OK: m.status == http.StatusOK, WrongServer: id != "" && id != s.options.ID}
 	health.Load, health.HasLoad = s.parseLoad(m.header)
+	if value := m.header.Get(d.WarmupLeft); value != "" && d.ParseWarmupLeft != nil {
+		if health.WarmupLeft, health.HasWarmupLeft = d.ParseWarmupLeft(value); !health.HasWarmupLeft {
+			health.UnreadableWarmup = value
+		}
+	}
 	return health, nil
 }
 
