placement: Serve a route after calls that took long

Cause: a route whose calls took longer than other callers wait was refused to those for good: by the estimate of its service time none could be answered before its deadline, and no call was sent that would correct the estimate. Found by TestCrowdOfPipelinedHeads: beside calls of 1 s, lookups with 900 ms were refused for 30 s.

Change: for the deadline, a call is expected to take no longer than its route's objective at a server of usual speed.

TestRouteIsServedAfterLongCalls fails without the change (Refuse).

--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -34,14 +34,18 @@
 // the route, while d.Objective is what is left of it.
 func Decide(c *Candidate, d Demand, held, objective time.Duration) Decision {
 	mayWait := held < MaxQueueTime(objective)
+	// An estimate above the route's objective may come from a few long calls. No call is sent
+	// to correct it if it decides that none can be answered before its deadline.
+	atMost := d
+	atMost.ServiceTime = min(d.ServiceTime, objective)
 	switch {
 	case c != nil && c.MeetsObjective(d):
 		return Send
-	case c != nil && d.MissesObjective() && c.NearServiceTime(d) && c.MeetsDeadline(d):
+	case c != nil && d.MissesObjective() && c.NearServiceTime(d) && c.MeetsDeadline(atMost):
 		return Send
 	case mayWait:
 		return Wait
-	case c != nil && c.HasFreeSlot() && c.MeetsDeadline(d):
+	case c != nil && c.HasFreeSlot() && c.MeetsDeadline(atMost):
 		return Send
 	default:
 		return Refuse
--- a/internal/placement/refusals_test.go
+++ b/internal/placement/refusals_test.go
@@ -94,3 +94,22 @@
 	assert.Equal(t, ReturnShare(short, short), 1.0)
 	assert.Equal(t, ReturnShare(0, 0), 1.0)
 }
+
+// The load: callers have sent calls that take longer than others wait, and the route's service
+// time is estimated by them. Guards against a route that is refused to all others for good,
+// because no call corrects the estimate.
+func TestRouteIsServedAfterLongCalls(t *testing.T) {
+	const objective = 200 * time.Millisecond
+	e := NewServiceTimeEstimator(objective)
+	idle := Candidate{Slots: 4, Slowness: 1}
+	for range 200 {
+		e.Observe(time.Second, idle)
+	}
+	estimate, crowded := e.Estimate()
+	assert.Assert(t, estimate > 900*time.Millisecond)
+	d := Demand{ServiceTime: estimate, CrowdedFactor: crowded, Objective: objective, TimeLeft: 900 * time.Millisecond}
+	assert.Equal(t, Decide(&idle, d, 0, objective), Send)
+	full := Candidate{Running: 4, Slots: 4, Slowness: 1}
+	assert.Equal(t, Decide(&full, d, 0, objective), Wait)
+	assert.Equal(t, Decide(&full, d, objective, objective), Refuse)
+}
