httpserver, memory: Bound what requests hold by progress, not by arrival

Cause: the bytes of bodies were counted once and held up to four times: by the library's parser, by a copy for the handler, by one for the request to the server, and by the growth of each. Heads were not counted at all. A body that stopped short kept its memory until its time was over, so that large bodies locked each other out, and small ones with them. Connections that sent nothing used up the descriptors.

Change: a body is kept in pieces that are counted before they are allocated and sent on without a copy; the parser gets the head only. Heads count three times until the answer. While the memory is used up, the request that makes the least progress for what it holds is refused (503, memory-stalled); small requests have an eighth more. A body may take longer than 10 s if it arrives at 16 KiB/s (vm.min_body_rate). Callers' connections get half of the descriptors (vm.max_fds); at the bound a new one takes the place of a silent one.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -79,7 +78,7 @@
 		}
 		timeout, waited = min(timeout, remaining), h.dispatcher.callerWaits(route).Observe(remaining)
 	}
-	body, err := io.ReadAll(r.Body)
+	body, err := httpserver.BodyChunks(r)
 	if err != nil {
 		h.log.With("id", id).Warnf("read the request's body: %v", err)
 		return nil, answer{status: http.StatusBadRequest, reason: "bad-body"}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
 	"github.com/thejerf/suture/v4"
 
@@ -53,8 +54,9 @@
 	// defaultMaxBodyBytes is the default of Options.MaxBodyBytes. The configuration can
 	// lower the limit on request bodies, but not raise it.
 	defaultMaxBodyBytes = 64 << 20
-	// bodyMemoryShare is the share of the VM's memory that bodies may use; the rest is
-	// for connections and the garbage collector.
+	// bodyMemoryShare is the share of the VM's memory that requests may use, an eighth of it
+	// more for small ones; the rest is for answers, connections and the garbage collector. One
+	// request with a body of defaultMaxBodyBytes fits into it on a VM of 184 MB.
 	bodyMemoryShare = 0.35
 	// callerIdleTimeout bounds the time between two requests on a caller's connection
 	// if the configuration allows more or has not been received yet.
@@ -97,7 +99,9 @@
 	callers := &callersListener{options: httpserver.Options{
 		Name: "callers", Address: s.Listen.Callers, Handler: h, MaxBodyBytes: o.MaxBodyBytes,
 		MemoryBytes: int(bodyMemoryShare * float64(s.VM.MemoryMB) * (1 << 20)), IdleTimeout: callerIdleTimeout, Limits: h.limits,
+		MaxConnections: maxCallerConnections(s.VM.MaxFDs), MinBodyRate: s.VM.MinBodyRate, IDHeader: o.Dialect.CallID,
 	}}
+	reportHeldBytes(callers)
 	stop := &stopper{settings: s.Stop, stop: &h.dispatcher.stop, current: h.current, callers: callers, members: o.Members, log: log}
 
 	root := tree.New("gateway", log)
@@ -126,6 +130,40 @@
 	return nil
 }
 
+const (
+	// callerDescriptorShare is the share of the VM's descriptors that callers' connections may
+	// use. The rest is for servers, other gateways and the store.
+	callerDescriptorShare = 0.5
+	// reservedDescriptors is the number of descriptors that a gateway uses for itself: its
+	// listeners, their pollers and files.
+	reservedDescriptors = 64
+)
+
+// maxCallerConnections returns the most connections of callers on a VM with a number of
+// descriptors; 0 stands for the default.
+func maxCallerConnections(descriptors int) int {
+	if descriptors == 0 {
+		return 0
+	}
+	return max(int(callerDescriptorShare*float64(descriptors-reservedDescriptors)), 1)
+}
+
+// reportHeldBytes serves metrics of what requests hold.
+func reportHeldBytes(l *callersListener) {
+	held := func(pick func(now, peak, givenUp int) int) func() float64 {
+		return func() float64 {
+			server := l.server.Load()
+			if server == nil {
+				return 0
+			}
+			return float64(pick(server.HeldBytes()))
+		}
+	}
+	metrics.GetOrCreateGauge("baobabstack_gateway_request_bytes", held(func(now, _, _ int) int { return now }))
+	metrics.GetOrCreateGauge("baobabstack_gateway_request_peak_bytes", held(func(_, peak, _ int) int { return peak }))
+	metrics.GetOrCreateGauge("baobabstack_gateway_requests_given_up_for_memory", held(func(_, _, givenUp int) int { return givenUp }))
+}
+
 // fleetSize returns the number of gateways that share the fleet's budgets.
 func (o *Options) fleetSize(now time.Time) fleet.Size {
 	return o.Members.Size(o.Settings.Budgets.RetryWindow.Duration, now)
--- a/internal/httpserver/answer.go
+++ b/internal/httpserver/answer.go
@@ -123,18 +123,40 @@
 func serve(w http.ResponseWriter, r *http.Request) {
 	c := w.(*nbhttp.Response).Parser.Conn.(*conn)
 	_, _, _ = w.(http.Hijacker).Hijack()
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		log.Warnf("%s: the body of a request can't be read: %v", c.server.options.Name, err)
-		_ = c.nbc.Close()
-		return
-	}
 	t := c.takeTurn()
-	own := r.WithContext(memory.WithTurn(c.arrivalContext(), t.before)) // the library uses r again
-	own.Body = io.NopCloser(bytes.NewReader(body))
+	ctx, body := c.takeArrival()
+	own := r.WithContext(memory.WithTurn(ctx, t.before)) // the library uses r again
+	own.Body, own.ContentLength = newBodyReader(body), int64(body.Len())
 	go c.respond(own, t)
 }
 
+// bodyReader reads the body of a request.
+type bodyReader struct {
+	io.Reader
+	chunks [][]byte
+}
+
+func newBodyReader(body memory.RequestBody) *bodyReader {
+	readers := make([]io.Reader, 0, len(body.Chunks()))
+	for _, chunk := range body.Chunks() {
+		readers = append(readers, bytes.NewReader(chunk))
+	}
+	return &bodyReader{Reader: io.MultiReader(readers...), chunks: body.Chunks()}
+}
+
+// Close implements io.Closer.
+func (*bodyReader) Close() error { return nil }
+
+// BodyChunks returns the body of a request to a handler of this package without a copy. The
+// bytes are not to be changed.
+func BodyChunks(r *http.Request) ([][]byte, error) {
+	if b, ok := r.Body.(*bodyReader); ok {
+		return b.chunks, nil
+	}
+	all, err := io.ReadAll(r.Body)
+	return [][]byte{all}, err
+}
+
 // slowArrival is the time from which ArrivalTime tells how long a request took to arrive.
 const slowArrival = 100 * time.Millisecond
 
@@ -147,19 +169,19 @@
 	return d
 }
 
-// arrivalContext returns the context of the oldest request that is not handled yet.
-func (c *conn) arrivalContext() context.Context {
+// takeArrival returns the context and the body of the oldest request that is not handled yet.
+func (c *conn) takeArrival() (context.Context, memory.RequestBody) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.arrived) == 0 {
-		return c.calls
+		return c.calls, memory.RequestBody{}
 	}
-	took := c.arrived[0]
+	a := c.arrived[0]
 	c.arrived = c.arrived[1:]
-	if took < slowArrival {
-		return c.calls
+	if a.took < slowArrival {
+		return c.calls, a.body
 	}
-	return context.WithValue(c.calls, arrivalKey{}, took)
+	return context.WithValue(c.calls, arrivalKey{}, a.took), a.body
 }
 
 // respond runs the handler and sends its answer when its turn has come.
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/baobabstack/baobabstack/internal/defect"
+	"github.com/baobabstack/baobabstack/internal/memory"
 )
 
 // conn is one connection: the net.Conn that the parser's processor sees, and
@@ -31,22 +32,29 @@
 
 	mu      sync.Mutex
 	guard   guard
-	pending []request       // parsed and not answered, oldest first
-	arrived []time.Duration // how long each request took to arrive that has no turn yet
+	pending []request // parsed and not answered, oldest first
+	arrived []arrival // of requests that have no turn yet
 	timer   *time.Timer
 	idle    *time.Timer     // runs while no request has begun and none is unanswered
 	tail    <-chan struct{} // closed when the last answer so far is sent
-	heardAt time.Time       // when the caller last sent something on a connection that takes no more requests
+	heardAt time.Time       // when the connection was opened, or the caller last sent something
+	served  bool            // a request was answered on the connection
 }
 
 // request is what the guard knows of a request until it is answered.
 type request struct {
-	body  int
-	close bool
+	receipt *memory.Receipt // nil for a refusal
+	close   bool
+}
+
+// arrival is a request that has arrived.
+type arrival struct {
+	took time.Duration // from its first byte to its last
+	body memory.RequestBody
 }
 
 func newConn(s *Server, nbc *nbio.Conn) *conn {
-	c := &conn{server: s, nbc: nbc, wire: &wire{Conn: nbc, drained: make(chan struct{}, 1)}}
+	c := &conn{server: s, nbc: nbc, heardAt: time.Now(), wire: &wire{Conn: nbc, drained: make(chan struct{}, 1)}}
 	c.Conn = c.wire
 	if s.options.TLS != nil {
 		c.tls = tls.NewConn(c.wire, s.options.TLS, false, true, s.engine.TLSAllocator)
@@ -74,10 +82,9 @@
 		c.idle.Stop()
 	}
 	c.guard.parser.CloseAndClean(err)
-	c.server.budget.Release(c.guard.body)
-	c.guard.body = 0
+	c.guard.release()
 	for _, r := range c.pending {
-		c.server.budget.Release(r.body)
+		r.receipt.Release()
 		c.server.busy.Add(-1)
 	}
 	c.pending = nil
@@ -108,9 +115,10 @@
 	if len(c.pending) == 0 {
 		return
 	}
-	c.server.budget.Release(c.pending[0].body)
+	c.pending[0].receipt.Release()
 	c.server.busy.Add(-1)
 	c.pending = c.pending[1:]
+	c.served = true
 	c.watchIdle()
 }
 
@@ -178,6 +186,48 @@
 	c.refuse(refuseStopping)
 }
 
+// lessUseful orders connections by how little is lost if they are closed: those that have had
+// no answer come first, then those whose callers have sent nothing for longest.
+type lessUseful struct {
+	served  bool
+	heardAt time.Time
+}
+
+func (a lessUseful) before(b lessUseful) bool {
+	if a.served != b.served {
+		return !a.served
+	}
+	return a.heardAt.Before(b.heardAt)
+}
+
+// minSilence is how long a caller must have sent nothing before its connection is closed for
+// another one. A caller sends its first request within that time.
+const minSilence = time.Second
+
+// canMakeRoom reports whether the connection may be closed for another one: no request on it
+// has been passed on, and its caller has been silent.
+func (c *conn) canMakeRoom(now time.Time) (lessUseful, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return lessUseful{c.served, c.heardAt}, len(c.pending) == 0 && !c.guard.done && now.Sub(c.heardAt) >= minSilence
+}
+
+// makeRoom closes the connection for another one, if that loses no request and no answer.
+func (c *conn) makeRoom() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case len(c.pending) > 0 || c.guard.done:
+	case c.guard.started():
+		c.guard.ticket = c.guard.ticket || c.guard.part == inHead
+		c.refuse(refuseCrowded)
+	case !c.wire.inTransit():
+		c.guard.done = true
+		c.server.counters.refused(refuseCrowded.reason)
+		_ = c.nbc.Close()
+	}
+}
+
 // endsWith reports whether the connection ends with the answer to its oldest request. If
 // so, no further request is read: one that was passed on would run without an answer.
 func (c *conn) endsWith(r request) bool {
@@ -200,7 +250,7 @@
 func (c *conn) send(a *answer, method string, last bool) {
 	collected := a.body.Len()
 	c.server.budget.Add(collected)
-	defer c.server.budget.Release(collected)
+	defer c.server.budget.Add(-collected)
 	timer := time.NewTimer(c.server.options.WriteTimeout)
 	defer timer.Stop()
 	p := a.first(method, last)
--- a/internal/httpserver/fuzz_test.go
+++ b/internal/httpserver/fuzz_test.go
@@ -73,7 +73,11 @@
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var s chunkScanner
-		n, whole, refused := s.scan(data, testBody)
+		var passed bytes.Buffer
+		n, whole, refused := s.scan(data, testBody, func(part []byte) *refusal {
+			passed.Write(part)
+			return nil
+		})
 		if refused != nil || !whole {
 			return
 		}
@@ -85,5 +89,6 @@
 		_, err = body.ReadFrom(req.Body)
 		assert.NilError(t, err)
 		assert.Equal(t, reader.Buffered(), len(data)-n)
+		assert.Equal(t, passed.String(), body.String())
 	})
 }
--- a/internal/httpserver/guard.go
+++ b/internal/httpserver/guard.go
@@ -8,6 +8,7 @@
 	"github.com/lesismal/nbio/nbhttp"
 
 	"github.com/baobabstack/baobabstack/internal/call"
+	"github.com/baobabstack/baobabstack/internal/memory"
 	"github.com/baobabstack/baobabstack/internal/policy/outcome"
 )
 
@@ -23,16 +24,18 @@
 type guard struct {
 	parser *nbhttp.Parser
 	part   part
-	head   []byte    // of a head that is not whole
+	head   []byte    // the head, whole or not
 	limits Limits    // in force when the request began
 	began  time.Time // when its first byte came
 	scan   headScanner
 	chunks chunkScanner
-	left   int // bytes of the body with a length
-	body   int // bytes of the body held so far
-	close  bool
-	ticket bool // the request carries a ticket, or may
-	done   bool // no more bytes are taken
+	left   int // bytes of the body with a length that are to come
+	body   memory.RequestBody
+	// receipt counts what the request holds; nil before its first byte.
+	receipt *memory.Receipt
+	close   bool
+	ticket  bool // the request carries a ticket, or may
+	done    bool // no more bytes are taken
 }
 
 // started reports whether a request has begun and is not whole.
@@ -52,9 +55,7 @@
 		}
 		data = data[n:]
 	}
-	if c.guard.done {
-		c.heardAt = time.Now()
-	}
+	c.heardAt = time.Now()
 	c.watchSender()
 	return nil
 }
@@ -64,14 +65,20 @@
 	switch c.guard.part {
 	case inLength:
 		n := min(c.guard.left, len(data))
+		if r := c.keepBody(data[:n]); r != nil {
+			return 0, r
+		}
 		c.guard.left -= n
-		return n, c.passBody(data[:n], c.guard.left == 0)
+		if c.guard.left > 0 {
+			return n, nil
+		}
+		return n, c.complete()
 	case inChunks:
-		n, whole, r := c.guard.chunks.scan(data, c.guard.limits.BodyBytes)
-		if r != nil {
-			return 0, r
+		n, whole, r := c.guard.chunks.scan(data, c.guard.limits.BodyBytes, c.keepBody)
+		if r != nil || !whole {
+			return n, r
 		}
-		return n, c.passBody(data[:n], whole)
+		return n, c.complete()
 	default:
 		return c.takeHead(data)
 	}
@@ -81,34 +88,48 @@
 	g := &c.guard
 	if !g.started() {
 		g.limits, g.began = c.server.limits(), time.Now()
+		g.receipt = c.beginReceipt()
 	}
 	n, whole, r := g.scan.scan(data, g.limits.HeadBytes)
 	if r != nil {
 		return 0, r
 	}
+	if !g.receipt.Grow(headCopies*n, n, time.Now()) {
+		return 0, refuseMemory
+	}
+	g.head = append(g.head, data[:n]...)
 	if !whole {
-		g.head = append(g.head, data...)
 		return n, nil
 	}
-	head := data[:n]
-	if len(g.head) > 0 {
-		head = append(g.head, head...)
-		g.head = nil
-	}
 	c.stopTimer()
-	f, r := checkHead(head, g.limits.BodyBytes, maxHeaders)
+	f, r := checkHead(g.head, g.limits.BodyBytes, maxHeaders)
 	if r != nil {
 		return 0, r
 	}
 	g.close, g.ticket = f.close, f.ticket
 	if f.chunked || f.length > 0 {
 		c.beginBody(f, len(data) > n)
-		return n, c.pass(head)
-	}
-	if r := c.complete(); r != nil {
-		return 0, r
+		return n, nil
 	}
-	return n, c.pass(head)
+	return n, c.complete()
+}
+
+// headCopies is how often the bytes of a head are held until the request is answered: as they
+// came, in the parsed request, and in the request that the handler sends on.
+const headCopies = 3
+
+// beginReceipt returns the receipt of a request that begins.
+func (c *conn) beginReceipt() *memory.Receipt {
+	var r *memory.Receipt
+	r = c.server.budget.Begin(func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.guard.receipt == r && c.guard.started() && !c.guard.done {
+			c.guard.ticket = c.guard.ticket || c.guard.part == inHead
+			c.refuse(refuseStalled)
+		}
+	})
+	return r
 }
 
 func (c *conn) beginBody(f framing, more bool) {
@@ -131,43 +152,53 @@
 	}
 }
 
-func (c *conn) passBody(data []byte, whole bool) *refusal {
-	if !c.server.budget.Reserve(len(data)) {
+// keepBody takes bytes of the body.
+func (c *conn) keepBody(data []byte) *refusal {
+	if !c.guard.body.Append(c.guard.receipt, data, c.guard.left, time.Now()) {
 		return refuseMemory
 	}
-	c.guard.body += len(data)
-	if whole {
-		if r := c.complete(); r != nil {
-			return r
-		}
-	}
-	return c.pass(data)
-}
-
-// pass gives checked bytes to the parser.
-func (c *conn) pass(data []byte) *refusal {
-	if c.guard.parser.Parse(data) != nil {
-		return refuseMalformed
-	}
 	return nil
 }
 
-// complete notes that the request ends with the bytes to be passed next. A request that
-// is read while the server drains is the last of its connection: its answer says so, and
+// complete notes that the request is whole, and passes its head to the parser, as that of a
+// request without a body: the body is kept here, where it is counted and not copied. A request
+// that is read while the server drains is the last of its connection: its answer says so, and
 // clients send again what they sent behind it.
 func (c *conn) complete() *refusal {
 	if len(c.pending) >= maxPipelined {
 		return refusePipeline
 	}
 	g := &c.guard
+	if !g.receipt.Whole() {
+		return refuseStalled
+	}
 	c.stopTimer()
 	g.close = g.close || c.server.draining.Load()
-	c.arrived = append(c.arrived, time.Since(g.began))
-	c.push(request{body: g.body, close: g.close})
-	g.part, g.body, g.ticket, g.done = inHead, 0, false, g.close
+	c.arrived = append(c.arrived, arrival{took: time.Since(g.began), body: g.body})
+	c.push(request{receipt: g.receipt, close: g.close})
+	head := g.head
+	if g.part != inHead {
+		head = withoutFraming(head)
+	}
+	g.part, g.body, g.receipt, g.head, g.ticket, g.done = inHead, memory.RequestBody{}, nil, nil, false, g.close
+	if g.parser.Parse(head) != nil {
+		return refuseMalformed
+	}
 	return nil
 }
 
+// withoutFraming returns a whole head without the headers that announce a body.
+func withoutFraming(head []byte) []byte {
+	out := make([]byte, 0, len(head))
+	for line := range bytes.SplitAfterSeq(head, crlf) {
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		if !is(name, "Content-Length") && !is(name, "Transfer-Encoding") && !is(name, "Expect") {
+			out = append(out, line...)
+		}
+	}
+	return out
+}
+
 func (c *conn) push(r request) {
 	c.pending = append(c.pending, r)
 	c.server.busy.Add(1)
@@ -182,11 +213,13 @@
 	if c.guard.ticket {
 		claim = outcome.Unknown
 	}
+	c.server.counters.refused(r.reason)
+	if r == refuseMemory || r == refuseStalled {
+		c.reportMemory(r)
+	}
 	c.guard.done = true
 	c.stopTimer()
-	c.server.budget.Release(c.guard.body)
-	c.guard.body = 0
-	c.server.counters.refused(r.reason)
+	c.guard.release()
 	c.push(request{close: true})
 	c.nbc.Execute(func() {
 		t := c.takeTurn()
@@ -208,6 +241,35 @@
 
 var ticketName = bytes.ToLower([]byte(call.HeaderTicket))
 
+// release frees what a request holds that is not whole.
+func (g *guard) release() {
+	g.receipt.Release()
+	g.body, g.head = memory.RequestBody{}, nil
+}
+
+// reportMemory logs a request that is refused for want of memory.
+func (c *conn) reportMemory(r *refusal) {
+	g := &c.guard
+	log.With("listener", c.server.options.Name).With("reason", r.reason).With("id", headerValue(g.head, c.server.options.IDHeader)).
+		With("body_bytes", g.body.Len()).With("took", time.Since(g.began).Round(time.Millisecond)).With("used_bytes", c.server.budget.Used()).
+		Infof("request refused: the memory for requests is used up")
+}
+
+// headerValue returns the value of a header in a head, whole or not; empty if there is none.
+func headerValue(head []byte, name string) string {
+	if name == "" {
+		return ""
+	}
+	for line := range bytes.SplitSeq(head, crlf) {
+		if key, value, ok := bytes.Cut(line, []byte(":")); ok && is(key, name) {
+			const maxText = 64
+			value = bytes.Trim(value, " \t")
+			return string(value[:min(len(value), maxText)])
+		}
+	}
+	return ""
+}
+
 // watchSender bounds the time that a request takes to arrive: first that of its
 // head, then that of the whole.
 func (c *conn) watchSender() {
@@ -227,14 +289,30 @@
 	timer = time.AfterFunc(time.Until(c.guard.began.Add(bound)), func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		if c.timer == timer && !c.guard.done {
-			c.guard.ticket = c.guard.ticket || c.guard.part == inHead
-			c.refuse(refuseSlow)
+		if c.timer != timer || c.guard.done {
+			return
+		}
+		if more := c.timeLeft(); more > 0 {
+			timer.Reset(more)
+			return
 		}
+		c.guard.ticket = c.guard.ticket || c.guard.part == inHead
+		c.refuse(refuseSlow)
 	})
 	c.timer = timer
 }
 
+// timeLeft returns how much longer the body of the request may take: what has arrived of it
+// must have come at the least rate, after the time that each request has.
+func (c *conn) timeLeft() time.Duration {
+	if c.guard.part == inHead {
+		return 0
+	}
+	o := &c.server.options
+	earned := time.Duration(float64(c.guard.body.Len()) / float64(o.MinBodyRate) * float64(time.Second))
+	return time.Until(c.guard.began.Add(o.RequestTimeout + earned))
+}
+
 func (c *conn) stopTimer() {
 	if c.timer != nil {
 		c.timer.Stop()
--- a/internal/httpserver/head.go
+++ b/internal/httpserver/head.go
@@ -53,6 +53,10 @@
 	refusePipeline  = &refusal{http.StatusServiceUnavailable, "pipeline-full"}
 	refuseStopping  = &refusal{http.StatusServiceUnavailable, "stopping"} // another listener can take it at once
 	refuseMemory    = &refusal{http.StatusServiceUnavailable, "memory"}
+	// refuseStalled makes room for a request that makes more progress.
+	refuseStalled = &refusal{http.StatusServiceUnavailable, "memory-stalled"}
+	// refuseCrowded makes room for another connection.
+	refuseCrowded = &refusal{http.StatusServiceUnavailable, "connections-full"}
 )
 
 var crlf = []byte("\r\n")
--- a/internal/httpserver/scan.go
+++ b/internal/httpserver/scan.go
@@ -56,12 +56,15 @@
 	total  int // bytes of data in all chunks
 }
 
-// scan reads up to the end of the body. It returns the number of bytes that
-// belong to it and whether it is whole.
-func (s *chunkScanner) scan(data []byte, maxBody int) (int, bool, *refusal) {
+// scan reads up to the end of the body, and passes the data of the chunks on. It returns the
+// number of bytes that belong to the body and whether it is whole.
+func (s *chunkScanner) scan(data []byte, maxBody int, pass func(data []byte) *refusal) (int, bool, *refusal) {
 	for i := 0; i < len(data); {
 		if s.state == chunkData {
 			n := min(s.size, len(data)-i)
+			if r := pass(data[i : i+n]); r != nil {
+				return 0, false, r
+			}
 			i += n
 			if s.size -= n; s.size == 0 {
 				s.state = chunkDataCR
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -32,10 +32,20 @@
 	Address string
 	// MaxBodyBytes bounds a request's body, and an answer's beside its head.
 	MaxBodyBytes int
-	// MemoryBytes bounds the bodies held for all connections; 0 sets no bound.
+	// MemoryBytes bounds what the requests of all connections hold, an eighth more for small
+	// ones; 0 sets no bound.
 	MemoryBytes int
-	// RequestTimeout bounds the time from a request's first byte to its last.
+	// MaxConnections bounds the open connections. At the bound, a new one takes the place of
+	// one whose caller is silent. The default is 32,768.
+	MaxConnections int
+	// RequestTimeout bounds the time from a request's first byte to its last, for a body that
+	// arrives more slowly than MinBodyRate.
 	RequestTimeout time.Duration
+	// MinBodyRate is the rate in bytes per second at which a body may take longer than
+	// RequestTimeout. The default is 16 KiB per second.
+	MinBodyRate int
+	// IDHeader names the header by which logs tell a request; empty for none.
+	IDHeader string
 	// WriteTimeout bounds the time that a caller takes to read an answer.
 	WriteTimeout time.Duration
 	// IdleTimeout bounds the time between two requests on a connection.
@@ -64,10 +74,19 @@
 	// drain and must fit into what is left of its grace period.
 	stopTimeout = 200 * time.Millisecond
 
-	maxHeadBytes   = 32 << 10
-	maxHeaders     = 100
-	maxPipelined   = 32
-	maxConnections = 32 << 10
+	maxHeadBytes = 32 << 10
+	maxHeaders   = 100
+	maxPipelined = 32
+	// defaultMaxConnections is the default of Options.MaxConnections.
+	defaultMaxConnections = 32 << 10
+	// defaultMinBodyRate is the default of Options.MinBodyRate: about a hundredth of a link of
+	// 10 Mbit/s.
+	defaultMinBodyRate = 16 << 10
+	// spareConnections is the number of connections beyond the bound, as its share, that are
+	// open while others are being closed.
+	spareConnections = 0.125
+	// roomScan is the number of connections among which one is chosen to make room.
+	roomScan = 256
 	// frameBytes bounds what TLS and the head add to an answer's body.
 	frameBytes = 256 << 10
 )
@@ -77,7 +96,7 @@
 	options  Options
 	engine   *nbhttp.Engine
 	listener net.Listener
-	budget   *memory.Budget // bodies held for all connections
+	budget   *memory.Intake // of the requests of all connections
 	counters counters
 	draining atomic.Bool
 	open     atomic.Int64
@@ -90,7 +109,7 @@
 // Start listens and serves until Stop.
 func Start(o Options) (*Server, error) {
 	s := &Server{options: withDefaults(o), counters: newCounters(o.Name)}
-	s.budget = memory.NewBudget(cmp.Or(o.MemoryBytes, math.MaxInt))
+	s.budget = memory.NewIntake(cmp.Or(o.MemoryBytes, math.MaxInt))
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Name: o.Name, Handler: http.HandlerFunc(serve),
 		MaxHTTPBodySize: o.MaxBodyBytes, ReadLimit: o.MaxBodyBytes + maxHeadBytes,
@@ -133,6 +152,8 @@
 	if o.IdleTimeout == 0 {
 		o.IdleTimeout = defaultIdleTimeout
 	}
+	o.MaxConnections = cmp.Or(o.MaxConnections, defaultMaxConnections)
+	o.MinBodyRate = cmp.Or(o.MinBodyRate, defaultMinBodyRate)
 	return o
 }
 
@@ -213,8 +234,8 @@
 			time.Sleep(acceptPause)
 			continue
 		}
-		if s.open.Load() >= maxConnections {
-			s.counters.refused("connections-full")
+		if !s.hasRoom() {
+			s.counters.refused(refuseCrowded.reason)
 			_ = raw.Close()
 			continue
 		}
@@ -222,6 +243,37 @@
 	}
 }
 
+// hasRoom reports whether another connection may be opened, and closes one for it at the bound.
+func (s *Server) hasRoom() bool {
+	open, bound := s.open.Load(), int64(s.options.MaxConnections)
+	if open < bound {
+		return true
+	}
+	now := time.Now()
+	var victim *conn
+	var least lessUseful
+	seen := 0
+	s.conns.Range(func(key, _ any) bool {
+		c := key.(*conn)
+		if use, ok := c.canMakeRoom(now); ok && (victim == nil || use.before(least)) {
+			victim, least = c, use
+		}
+		seen++
+		return seen < roomScan
+	})
+	if victim == nil || open >= bound+int64(spareConnections*float64(bound)) {
+		return false
+	}
+	victim.makeRoom()
+	return true
+}
+
+// HeldBytes returns the bytes that requests hold now, the most that they held, and the number
+// of requests that were given up for others.
+func (s *Server) HeldBytes() (now, peak, givenUp int) {
+	return s.budget.Used(), s.budget.Peak(), s.budget.GivenUp()
+}
+
 // add hands a connection to the engine, with a guard in front of its parser.
 func (s *Server) add(raw net.Conn) {
 	nbc, err := nbio.NBConn(raw)
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -57,6 +57,12 @@
 	// LinkMbps is the bandwidth of its link in Mbit/s. VMs with faster links pass
 	// on more.
 	LinkMbps float64 `toml:"link_mbps"`
+	// MaxFDs is the number of file descriptors that the process may use, of which callers'
+	// connections get half; 0 stands for no bound.
+	MaxFDs int `toml:"max_fds"`
+	// MinBodyRate is the rate in bytes per second at which a request's body may take longer
+	// than 10 s to arrive; 0 stands for 16 KiB per second.
+	MinBodyRate int `toml:"min_body_rate"`
 }
 
 // Budgets bound what all gateways together may spend.
@@ -105,6 +111,12 @@
 		c.address(fmt.Sprintf("fleet.seeds[%d]", i), seed)
 	}
 	c.positive("vm.memory_mb", s.VM.MemoryMB)
+	if s.VM.MaxFDs != 0 && s.VM.MaxFDs < minMaxFDs {
+		c.add("vm.max_fds", fmt.Sprintf("is %d", s.VM.MaxFDs), fmt.Sprintf("give at least %d, or 0 for no bound", minMaxFDs))
+	}
+	if s.VM.MinBodyRate < 0 {
+		c.add("vm.min_body_rate", fmt.Sprintf("is %d", s.VM.MinBodyRate), "give a number of bytes per second, or 0 for the default")
+	}
 	if s.VM.LinkMbps <= 0 || s.VM.LinkMbps > maxLinkMbps {
 		c.add("vm.link_mbps", fmt.Sprintf("is %g", s.VM.LinkMbps), fmt.Sprintf("give a number above 0 and up to %d", maxLinkMbps))
 	}
@@ -116,6 +128,9 @@
 	c.level(s.Log.Level)
 }
 
+// minMaxFDs is the least number of descriptors with which a gateway can serve.
+const minMaxFDs = 128
+
 // maxLinkMbps is the fastest link that settings may name, 1 Tbit/s.
 const maxLinkMbps = 1_000_000
 
--- a/internal/standin/gateway.go
+++ b/internal/standin/gateway.go
@@ -24,6 +24,8 @@
 	RetrySlack, ProbesPerSecond int
 	// RetryWindow is the window of the retry budget; the default is 10 s.
 	RetryWindow time.Duration
+	// MaxFDs is the number of descriptors of the gateway's VM; the default is no bound.
+	MaxFDs int
 	// MemoryMB is the memory of the gateway's VM; the default is 200.
 	MemoryMB int
 }
@@ -66,6 +68,7 @@
 [vm]
 memory_mb = %[8]d
 link_mbps = 100
+max_fds = %[10]d
 [budgets]
 retry_ratio = 0.2
 retry_slack = %[6]d
@@ -84,6 +87,6 @@
 	for _, host := range s.Seeds {
 		seeds = append(seeds, fmt.Sprintf("\"%s:%d\"", host, gatewayFleetPort))
 	}
-	text := fmt.Sprintf(gatewaySettings, s.ID, s.Zone, s.Host, strings.Join(seeds, ", "), s.Store, s.RetrySlack, s.ProbesPerSecond, s.Memory(), cmp.Or(s.RetryWindow, defaultRetryWindow).String())
+	text := fmt.Sprintf(gatewaySettings, s.ID, s.Zone, s.Host, strings.Join(seeds, ", "), s.Store, s.RetrySlack, s.ProbesPerSecond, s.Memory(), cmp.Or(s.RetryWindow, defaultRetryWindow).String(), s.MaxFDs)
 	return errors.Wrap(os.WriteFile(file, []byte(text), 0o600), "write a gateway's settings")
 }
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -272,7 +272,8 @@
 	Method, Target string
 	// Head holds the end-to-end header lines, each ended by CRLF.
 	Head []byte
-	Body []byte
+	// Body is the body in pieces. It must not change until Send returns.
+	Body [][]byte
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
 }
@@ -315,7 +316,7 @@
 	if !s.options.Standing.Available(time.Now()) {
 		return Result{Outcome: NotRun, Err: errors.WithStack(ErrLeftAlone)}
 	}
-	if n, err := l.conn.write(s.encode(call)); err != nil {
+	if n, err := s.sendRequest(l.conn, call); err != nil {
 		if n == 0 {
 			return Result{Outcome: NotRun, Err: err}
 		}
@@ -388,11 +389,43 @@
 	}
 }
 
-// encode returns the request in wire format.
-func (s *Server) encode(call *Call) []byte {
+// joinedBytes is the most of a body that is written together with the head.
+const joinedBytes = 4 << 10
+
+// sendRequest writes a request and returns the number of bytes written.
+func (s *Server) sendRequest(c *conn, call *Call) (int, error) {
+	out := s.encodeHead(call)
+	rest := call.Body
+	if len(rest) > 0 && len(rest[0]) <= joinedBytes {
+		out, rest = append(out, rest[0]...), rest[1:]
+	}
+	written, err := c.write(out)
+	for _, piece := range rest {
+		if err != nil {
+			break
+		}
+		var n int
+		n, err = c.write(piece)
+		written += n
+	}
+	return written, err
+}
+
+// length returns the number of bytes of the body.
+func (c *Call) length() int {
+	n := 0
+	for _, piece := range c.Body {
+		n += len(piece)
+	}
+	return n
+}
+
+// encodeHead returns the head of the request in wire format.
+func (s *Server) encodeHead(call *Call) []byte {
 	d := s.options.Dialect
 	left := max(time.Until(call.Deadline).Milliseconds(), 1)
-	out := make([]byte, 0, len(call.Head)+len(call.Body)+len(call.Target)+256)
+	bodyBytes := call.length()
+	out := make([]byte, 0, len(call.Head)+len(call.Target)+min(bodyBytes, joinedBytes)+256)
 	out = append(out, call.Method...)
 	out = append(out, ' ')
 	out = append(out, call.Target...)
@@ -401,11 +434,10 @@
 	out = append(out, d.Deadline+": "...)
 	out = strconv.AppendInt(out, left, 10)
 	out = append(out, "\r\n"+d.ExpectServer+": "+s.options.ID+"\r\n"...)
-	if len(call.Body) > 0 || call.Method == http.MethodPost || call.Method == http.MethodPut || call.Method == http.MethodPatch {
+	if bodyBytes > 0 || call.Method == http.MethodPost || call.Method == http.MethodPut || call.Method == http.MethodPatch {
 		out = append(out, "Content-Length: "...)
-		out = strconv.AppendInt(out, int64(len(call.Body)), 10)
+		out = strconv.AppendInt(out, int64(bodyBytes), 10)
 		out = append(out, "\r\n"...)
 	}
-	out = append(out, "\r\n"...)
-	return append(out, call.Body...)
+	return append(out, "\r\n"...)
 }
--- a/proof/crowd_test.go
+++ b/proof/crowd_test.go
@@ -202,7 +202,7 @@
 }
 
 func startCrowdFleet(t *testing.T) *gatewayFleet {
-	f := startGatewayFleet(t, gatewayFleetOptions{MemoryMB: crowdMemoryMB, Slots: 400, Timeout: 10 * time.Second})
+	f := startGatewayFleet(t, gatewayFleetOptions{MemoryMB: crowdMemoryMB, MaxFDs: crowdMaxFDs, Slots: 400, Timeout: 10 * time.Second})
 	for _, p := range f.processes {
 		limit := unix.Rlimit{Cur: crowdMaxFDs, Max: crowdMaxFDs}
 		assert.NilError(t, unix.Prlimit(p.Pid, unix.RLIMIT_NOFILE, &limit, nil))
--- a/proof/gateways_test.go
+++ b/proof/gateways_test.go
@@ -63,6 +63,8 @@
 type gatewayFleetOptions struct {
 	// MemoryMB is the memory of a gateway's VM. The default is 200.
 	MemoryMB int
+	// MaxFDs is the number of descriptors of a gateway's VM. The default is no bound.
+	MaxFDs int
 	// Slots is the number of requests that a server runs at once. The default is 12.
 	Slots int
 	// Work is how long a request runs. The default is 10 ms.
@@ -107,7 +109,7 @@
 		file := filepath.Join(dir, fmt.Sprintf("g%d.toml", i))
 		settings := standin.GatewaySettings{
 			ID: fmt.Sprintf("g%d", i), Zone: fmt.Sprintf("z%d", i), Host: host, Seeds: seeds, Store: store.Address(),
-			RetrySlack: fleetRetrySlack, RetryWindow: o.RetryWindow, ProbesPerSecond: 200, MemoryMB: o.MemoryMB,
+			RetrySlack: fleetRetrySlack, RetryWindow: o.RetryWindow, ProbesPerSecond: 200, MemoryMB: o.MemoryMB, MaxFDs: o.MaxFDs,
 		}
 		assert.NilError(t, settings.Write(file))
 		log := filepath.Join(dir, fmt.Sprintf("g%d.log", i))
