placement: Let refused callers return in time, keep extra sends for those that did

Callers that servers had turned away by chance spent the extra sends of the fleet at their first attempt, so that those that had come back were refused for good. Callers that came back within a few per cent of their time were taken for new ones.

Change: a caller that can still be in time is told to come back while it can, at once if servers have only turned it away; the others come back later, behind those in time. First attempts may use half of the extra sends. Where callers state their time to the millisecond, it tells retries apart.

Tests: TestRefusedCallersComeBackWithinTheirObjective, TestCallersThatCameBackHaveExtraSendsLeft, TestSoonRetryIsToldFromAFirstAttempt.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -29,8 +29,10 @@
 	// objectiveEnd is when the route's latency objective ends. It counts from the
 	// caller's first attempt, which may have been sent to another gateway.
 	objectiveEnd time.Time
-	trace        *trace
-	answers      *answerBodies
+	// cameBack says that the caller has had an attempt before this one.
+	cameBack bool
+	trace    *trace
+	answers  *answerBodies
 }
 
 // answer is the response to the caller. The reason is only logged.
@@ -63,7 +65,7 @@
 	for {
 		ls, refused := d.acquireServer(ctx, &s)
 		if ls == nil {
-			return s.failureAnswer(refused)
+			return d.failureAnswer(&s, refused)
 		}
 		if !ls.target.claim(time.Now()) {
 			ls.release()
@@ -71,10 +73,10 @@
 		}
 		if s.sends > 0 && !d.takeExtraSend(r) {
 			ls.release()
-			return s.failureAnswer("retry-budget")
+			return d.failureAnswer(&s, "retry-budget")
 		}
 		result := d.send(ctx, &s, ls)
-		if a, done := s.handleResult(ctx, result); done {
+		if a, done := d.handleResult(ctx, &s, result); done {
 			return a
 		}
 	}
@@ -86,7 +88,7 @@
 	now := time.Now()
 	budget, size := r.service.state.retryBudget, d.options.fleetSize(now)
 	slack := d.retrySlack(size)
-	granted := budget.Take(slack, now)
+	granted := budget.Take(slack, r.cameBack, now)
 	spent, allowed := budget.Usage(slack, now)
 	r.trace.setRetryBudget(spent, allowed, size)
 	countExtraSend(r.service.name, granted)
@@ -122,7 +124,7 @@
 
 // handleResult returns the answer to the caller and true, or false if the request is to
 // be sent again.
-func (s *dispatchState) handleResult(ctx context.Context, r upstream.Result) (answer, bool) {
+func (d *dispatcher) handleResult(ctx context.Context, s *dispatchState, r upstream.Result) (answer, bool) {
 	if usableByCaller(&r) {
 		return s.serverAnswer(&r), true
 	}
@@ -134,7 +136,7 @@
 	if again && (s.route.Idempotent || r.Outcome == upstream.NotRun || defect.On("gateway-resend-unsafe")) {
 		return answer{}, false
 	}
-	return s.failureAnswer("attempts"), true
+	return d.failureAnswer(s, "attempts"), true
 }
 
 // recordFailure records whether a failed send may have executed the request, and the
@@ -153,7 +155,7 @@
 // failureAnswer returns the answer to a request that is not sent again. A server's own
 // error response takes precedence. 503 is used only if no server can have executed the
 // request.
-func (s *dispatchState) failureAnswer(reason string) answer {
+func (d *dispatcher) failureAnswer(s *dispatchState, reason string) answer {
 	switch {
 	case s.lastAnswer != nil:
 		return s.serverAnswer(s.lastAnswer)
@@ -166,10 +168,18 @@
 	case reason == reasonStopping: // another gateway can take it at once
 		return answer{status: http.StatusServiceUnavailable, reason: reason}
 	default:
-		return answer{status: http.StatusServiceUnavailable, reason: reason, retryAfter: cmp.Or(s.retryAfter, placement.RetryAfter(time.Until(s.deadline)))}
+		return answer{status: http.StatusServiceUnavailable, reason: reason, retryAfter: cmp.Or(s.retryAfter, placement.RetryAfter(s.refusal(), d.demand(s.request)))}
 	}
 }
 
+// refusal returns why the request is refused, for the time after which its caller comes back.
+func (s *dispatchState) refusal() placement.Refusal {
+	if s.sends > 0 {
+		return placement.TurnedAway
+	}
+	return placement.NoRoom
+}
+
 // send sends a request to one server and waits for the result. An idempotent request
 // that is overdue is also sent to a second server.
 func (d *dispatcher) send(ctx context.Context, s *dispatchState, ls *leasedServer) upstream.Result {
--- a/internal/placement/budget.go
+++ b/internal/placement/budget.go
@@ -61,14 +61,23 @@
 	b.steps = max(b.steps, 1)
 }
 
+// firstAttemptShare is the share of the budget that may be spent on callers' first attempts.
+// They can come back by themselves, which costs no extra send, and the rest is kept for callers
+// that have come back.
+const firstAttemptShare = 0.5
+
 // Take records an extra send and returns true if the budget allows one. Slack is
 // this entry's part of the extra sends allowed in a window regardless of the number of
-// calls.
-func (b *RetryBudget) Take(slack float64, now time.Time) bool {
+// calls. CameBack says that the caller was refused or lost an answer before.
+func (b *RetryBudget) Take(slack float64, cameBack bool, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
-	if spent, allowed := b.usageLocked(slack, now); float64(spent)+b.rounding > allowed {
+	spent, allowed := b.usageLocked(slack, now)
+	if !cameBack {
+		allowed *= firstAttemptShare
+	}
+	if float64(spent)+b.rounding > allowed {
 		return false
 	}
 	b.extraSends[b.current]++
--- a/internal/placement/budget_test.go
+++ b/internal/placement/budget_test.go
@@ -50,7 +50,7 @@
 		b, at := f.budgets[f.rng.IntN(len(f.budgets))], f.clock.Sub(f.started)
 		b.CountCall(f.clock)
 		f.calls = append(f.calls, at)
-		for sends := 1; refusing && sends < attempts && b.Take(share, f.clock); sends++ {
+		for sends := 1; refusing && sends < attempts && b.Take(share, true, f.clock); sends++ {
 			f.extra = append(f.extra, at)
 		}
 	}
--- a/internal/placement/callers.go
+++ b/internal/placement/callers.go
@@ -13,6 +13,7 @@
 type WaitEstimator struct {
 	mu     sync.Mutex
 	counts map[int]float64 // calls by bucket of time left
+	exact  map[int]float64 // calls by time left in milliseconds
 	total  float64
 }
 
@@ -26,6 +27,12 @@
 	// fall into one bucket.
 	typicalShare       = 0.15
 	typicalBucketShare = 0.05
+	// exactShare is the share of calls from which one time left in milliseconds is typical of
+	// first attempts. Where callers state the same time to the millisecond, retries can be told
+	// from first attempts also if they come soon.
+	exactShare = 0.1
+	// connectTime is the most that a first attempt loses while its connection is opened.
+	connectTime = 15 * time.Millisecond
 	// minSamples is the number of calls needed before shares are meaningful.
 	minSamples = 20
 	// halveAfterCalls is the total of the counts at which all are halved, so that older
@@ -34,7 +41,9 @@
 )
 
 // NewWaitEstimator returns an estimator without samples.
-func NewWaitEstimator() *WaitEstimator { return &WaitEstimator{counts: make(map[int]float64)} }
+func NewWaitEstimator() *WaitEstimator {
+	return &WaitEstimator{counts: make(map[int]float64), exact: make(map[int]float64)}
+}
 
 // Observe records a call that arrived with the given time left. It returns how long the
 // caller had waited before that, or 0 if this is a first attempt or the time is unknown.
@@ -46,8 +55,17 @@
 	own := bucket(ms)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.add(own)
-	if c.total < minSamples || c.isTypical(own) {
+	c.add(own, int(left.Milliseconds()))
+	if c.total < minSamples {
+		return 0
+	}
+	if first, ok := c.exactTypical(int(left.Milliseconds())); ok {
+		if waited := first - left; waited > connectTime {
+			return waited
+		}
+		return 0
+	}
+	if c.isTypical(own) {
 		return 0
 	}
 	nearest, found := 0, false
@@ -65,12 +83,32 @@
 // bucket returns the number of the bucket for a time left in milliseconds.
 func bucket(ms float64) int { return int(math.Log(ms) / math.Log(bucketRatio)) }
 
-func (c *WaitEstimator) add(b int) {
+// exactTypical returns the least typical time left that is not below the given milliseconds;
+// ok is false if there is none.
+func (c *WaitEstimator) exactTypical(ms int) (left time.Duration, ok bool) {
+	nearest := 0
+	for value, n := range c.exact {
+		if value >= ms && n >= exactShare*c.total && (nearest == 0 || value < nearest) {
+			nearest = value
+		}
+	}
+	return time.Duration(nearest) * time.Millisecond, nearest > 0
+}
+
+func (c *WaitEstimator) add(b, ms int) {
 	c.counts[b]++
+	c.exact[ms]++
 	c.total++
 	if c.total < halveAfterCalls {
 		return
 	}
+	for value, n := range c.exact {
+		if n < 1 {
+			delete(c.exact, value)
+			continue
+		}
+		c.exact[value] = n / 2
+	}
 	c.total = 0
 	for b, n := range c.counts {
 		if n < 1 {
--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -162,14 +162,82 @@
 
 // Callers that were refused together would cause the next burst if they retried together.
 func TestRefusedCallersDoNotRetryTogether(t *testing.T) {
+	late := Demand{ServiceTime: 100 * time.Millisecond, Objective: time.Millisecond, TimeLeft: time.Second}
 	var delays []time.Duration
 	for range 200 {
-		delays = append(delays, RetryAfter(time.Second))
+		delays = append(delays, RetryAfter(NoRoom, late))
 	}
 	slices.Sort(delays)
 	assert.Assert(t, delays[180]-delays[20] > 100*time.Millisecond)
 	assert.Assert(t, delays[199] <= time.Second/3, "callers wait for a third of their time left at most")
-	assert.Equal(t, RetryAfter(-time.Second), time.Duration(0))
+	late.TimeLeft = -time.Second
+	assert.Equal(t, RetryAfter(NoRoom, late), time.Duration(0))
+}
+
+// Guards against delays that are longer than what a caller can spare: one that could have been
+// answered within its objective comes back when it can't. A caller that a server turned away
+// by chance gains nothing by waiting.
+func TestRefusedCallersComeBackWithinTheirObjective(t *testing.T) {
+	d := Demand{ServiceTime: 60 * time.Millisecond, Objective: 150 * time.Millisecond, TimeLeft: 1400 * time.Millisecond}
+	var full, turnedAway time.Duration
+	for range 200 {
+		delay := RetryAfter(NoRoom, d)
+		assert.Assert(t, delay > 0 && delay < (d.Objective-d.ServiceTime)*2/3, "%s", delay)
+		full, turnedAway = full+delay, turnedAway+RetryAfter(TurnedAway, d)
+	}
+	assert.Assert(t, turnedAway < full/2)
+	d.Objective = d.ServiceTime
+	assert.Assert(t, RetryAfter(TurnedAway, d) > 100*time.Millisecond, "its answer is late in any case; others go first")
+}
+
+// The load: servers turn away half of all calls by chance, and callers that are told so come
+// back once. Guards against extra sends that are spent on first attempts, so that callers that
+// have come back are refused for good.
+func TestCallersThatCameBackHaveExtraSendsLeft(t *testing.T) {
+	const refusedShare, perSecond = 0.55, 100
+	now := time.Unix(1000, 0)
+	b := NewRetryBudget(0.2, 10*time.Second, 1, now.Add(-time.Minute))
+	rng := rand.New(rand.NewPCG(7, 1)) //nolint:gosec // a seed for tests
+	attempt := func(cameBack bool) bool {
+		b.CountCall(now)
+		for rng.Float64() < refusedShare {
+			if !b.Take(0, cameBack, now) {
+				return false
+			}
+		}
+		return true
+	}
+	calls, served, alone := 0, 0, 0
+	for range 30 * perSecond {
+		now = now.Add(time.Second / perSecond)
+		calls++
+		if rng.Float64() >= refusedShare || rng.Float64() >= refusedShare { // two attempts without extra sends
+			alone++
+		}
+		if attempt(false) || attempt(true) {
+			served++
+		}
+	}
+	t.Logf("served %d of %d, %d without extra sends", served, calls, alone)
+	assert.Assert(t, served > calls*80/100)
+}
+
+// Guards against first attempts and retries that are confused when callers come back within a
+// few per cent of their time.
+func TestSoonRetryIsToldFromAFirstAttempt(t *testing.T) {
+	c := NewWaitEstimator()
+	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+	for i := range 400 {
+		first := 1500
+		if i%3 == 0 {
+			first -= 7 // on a new connection
+		}
+		assert.Equal(t, c.Observe(ms(first)), time.Duration(0))
+		if i%2 == 0 {
+			c.Observe(ms(1500 - 25 - (i*13)%40))
+		}
+	}
+	assert.Equal(t, c.Observe(ms(1460)), ms(33), "since the nearest typical time")
 }
 
 func newWaiter(priority int, until time.Time) *Waiter {
@@ -226,7 +294,7 @@
 			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "gap")) * time.Millisecond)
 			b.CountCall(now)
 			sends = append(sends, send{now, false})
-			for rapid.Bool().Draw(t, "again") && b.Take(slack, now) {
+			for rapid.Bool().Draw(t, "again") && b.Take(slack, true, now) {
 				sends = append(sends, send{now, true})
 			}
 		}
@@ -368,13 +436,13 @@
 			b.CountCall(now)
 			calls++
 			for range 2 { // half of the calls are rejected, again and again
-				if rng.IntN(2) == 0 && b.Take(slack/float64(entries), now) {
+				if rng.IntN(2) == 0 && b.Take(slack/float64(entries), true, now) {
 					extra++
 				}
 			}
 		}
 		for _, b := range budgets {
-			for b.Take(slack/float64(entries), start.Add(window)) {
+			for b.Take(slack/float64(entries), true, start.Add(window)) {
 				extra++
 			}
 		}
--- a/internal/placement/world_test.go
+++ b/internal/placement/world_test.go
@@ -164,7 +164,7 @@
 		w.result.refused++
 		return
 	}
-	w.schedule(RetryAfter(w.timeout-(w.now-c.firstSent)), func() {
+	w.schedule(RetryAfter(NoRoom, w.demand(c)), func() {
 		c.arrived = w.now
 		w.placeByHealth(c)
 	})
