placement: Decide by risk and bytes when a call leaves its data centre

Cause: a server elsewhere cost a tenth of the objective whatever a call's answer weighed, and calls looked elsewhere only once up to six servers of their own data centre were found full or too slow, each call anew.

Change: a call leaves if that lowers the probability of a late answer by more than its bytes cost (setting placement.remote_kb_cost; bytes are learned per route). If many have to leave, a part of the later ones looks elsewhere first; the part follows the share of those that had to leave, and is gone a few seconds after the load. Log lines and a metric say why a call left.

--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -62,6 +62,8 @@
 	candidate placement.Candidate
 	// answeredAt is when the server reported its load; zero if it never did.
 	answeredAt time.Time
+	// because says why a server of another data centre was looked for; empty for one of the own.
+	because string
 }
 
 func (ls *leasedServer) release() {
@@ -119,8 +121,8 @@
 }
 
 // findServer checks servers of the gateway's own data centre until one is good. If none
-// is, it checks others: in other data centres if the best one found is full or far too slow,
-// else more of its own. It returns the best one. It chooses a server without a check if no
+// is, it checks others: in other data centres if that pays, else more of its own. A part of
+// the calls looks in other data centres first, see placement.Crossing. It returns the best one. It chooses a server without a check if no
 // checked server accepts requests, if the service's servers don't report their load, or
 // if the budget of checks is used up. It returns nil if no connection can be opened.
 func (d *dispatcher) findServer(ctx context.Context, svc *service, demand placement.Demand, tried map[*upstream.Server]bool) *leasedServer {
@@ -133,19 +135,69 @@
 		limit = maxChecksWhenScarce
 	}
 	local := eligibleTargets(svc.local, svc.state, tried, demand, now)
+	var best *leasedServer
+	crossing := svc.state.crossing
+	remoteFirst := len(local) > 0 && limit == maxChecks && crossing.RemoteFirst(rand.Float64(), now)
+	if remoteFirst {
+		remote := eligibleTargets(svc.remote, svc.state, tried, demand, now)
+		best = d.checkRemote(ctx, svc, remote[:min(concurrentChecks, len(remote))], nil, demand, rate)
+		if best != nil && best.candidate.Good(demand) {
+			best.because = "remote-first"
+			return best
+		}
+		limit -= concurrentChecks
+	}
 	first := min(maxLocalChecks, limit, len(local))
-	best := d.checkUntilGood(ctx, svc, local[:first], nil, demand, rate)
+	best = d.checkUntilGood(ctx, svc, local[:first], best, demand, rate)
 	if best == nil || !best.candidate.Good(demand) {
 		more := local[first:]
-		if best == nil || placement.NeedsRemote(best.candidate, demand) || len(more) == 0 {
+		if because, leaves := whyLeave(best, crossing, demand, len(more)); leaves && !remoteFirst {
 			more = eligibleTargets(svc.remote, svc.state, tried, demand, now)
+			best = d.checkRemote(ctx, svc, more[:min(limit-first, len(more))], best, demand, rate)
+			best.setBecause(because)
+		} else {
+			best = d.checkUntilGood(ctx, svc, more[:min(limit-first, len(more))], best, demand, rate)
 		}
-		best = d.checkUntilGood(ctx, svc, more[:min(limit-first, len(more))], best, demand, rate)
 	}
-	if best != nil {
-		return best
+	if best == nil {
+		return d.chooseUnchecked(ctx, svc, demand, tried, now)
+	}
+	if !remoteFirst && len(local) > 0 {
+		crossing.Observe(best.candidate.Remote, now)
+	}
+	return best
+}
+
+// whyLeave returns why servers of other data centres are checked, given the best of the own
+// one, which may be nil, and the number of others there; leaves is false if they aren't.
+func whyLeave(best *leasedServer, crossing *placement.Crossing, demand placement.Demand, others int) (because string, leaves bool) {
+	switch {
+	case best == nil:
+		return "none-here", true
+	case crossing.Pays(best.candidate, demand):
+		if best.candidate.HasFreeSlot() {
+			return "late-here", true
+		}
+		return "full-here", true
+	default:
+		return "none-other-here", others == 0
+	}
+}
+
+// setBecause records why a server in another data centre was chosen, for the request's log line.
+func (ls *leasedServer) setBecause(because string) {
+	if ls != nil && ls.candidate.Remote {
+		ls.because = because
+	}
+}
+
+// checkRemote is checkUntilGood for servers of other data centres.
+func (d *dispatcher) checkRemote(ctx context.Context, svc *service, order []*target, best *leasedServer, demand placement.Demand, rate float64) *leasedServer {
+	found := d.checkUntilGood(ctx, svc, order, nil, demand, rate)
+	if found != nil {
+		svc.state.crossing.ObserveRemote(found.candidate, demand)
 	}
-	return d.chooseUnchecked(ctx, svc, demand, tried, now)
+	return better(best, found, demand)
 }
 
 // checkUntilGood checks servers in the given order, concurrentChecks at a time, until the
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -199,6 +199,9 @@
 	s.service.state.sends.Add(1)
 	s.tried[ls.target.server] = true
 	ls.target.health.recordSend(now)
+	if ls.because != "" {
+		countRemoteSend(s.service.name, ls.because)
+	}
 	return s.trace.addSend(ls, now)
 }
 
@@ -211,6 +214,9 @@
 	call.Deadline = r.deadline
 	result := ls.lease.Send(ctx, &call)
 	r.answers.add(result.Body)
+	if result.Outcome == upstream.Answered {
+		d.routeStateOf(r.route).observeBytes(call.BodyBytes() + result.Body.Len())
+	}
 	d.metrics.countGivenUp(&result)
 	d.recordResult(ctx, r, ls, &result, time.Since(begin))
 	d.offerToQueue(r.service, ls, &result)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/baobabstack/baobabstack/internal/httpserver"
+	"github.com/baobabstack/baobabstack/internal/placement"
 )
 
 // counters holds the gateway's metrics.
@@ -61,6 +62,16 @@
 	metrics.GetOrCreateCounter(`baobabstack_gateway_cold_withheld_total{service="` + service + `"}`).Inc()
 }
 
+// reportRemoteFirst serves the share of a service's calls that look in other data centres first.
+func reportRemoteFirst(service string, x *placement.Crossing) {
+	metrics.GetOrCreateGauge(`baobabstack_gateway_remote_first_share{service="`+service+`"}`, func() float64 { return x.Share(time.Now()) })
+}
+
+// countRemoteSend counts a request that is sent to another data centre, by the reason.
+func countRemoteSend(service, because string) {
+	metrics.GetOrCreateCounter(`baobabstack_gateway_remote_sends_total{service="` + service + `",because="` + because + `"}`).Inc()
+}
+
 // countExtraSend counts an extra send that the service's retry budget allowed or refused.
 func countExtraSend(service string, granted bool) {
 	result := "over-budget"
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/baobabstack/baobabstack/internal/placement"
@@ -114,8 +116,10 @@
 	serviceTime, crowdedFactor := estimator.Estimate()
 	return placement.Demand{
 		ServiceTime: serviceTime, CrowdedFactor: crowdedFactor, Spread: estimator.Spread(),
-		Objective: max(r.objectiveEnd.Sub(now), time.Millisecond),
-		TimeLeft:  r.deadline.Sub(now),
+		TrafficCost: d.routeStateOf(r.route).trafficCost(d.options.Settings.Placement.RemoteKBCost),
+		MayWait:     now.Sub(r.received) < placement.MaxQueueTime(r.route.Objective),
+		Objective:   max(r.objectiveEnd.Sub(now), time.Millisecond),
+		TimeLeft:    r.deadline.Sub(now),
 	}
 }
 
@@ -231,6 +235,32 @@
 type routeState struct {
 	serviceTimes *placement.ServiceTimeEstimator
 	callerWaits  *placement.WaitEstimator
+	// meanBytes is the mean size of a call and its answer.
+	meanBytes atomic.Uint64
+}
+
+const (
+	// initialBytes is assumed of a route's calls until the first has ended.
+	initialBytes = 5000
+	// bytesWeight is the weight of the latest call in the mean size, as a divisor.
+	bytesWeight = 16
+	// headBytes is about what the heads of a call and its answer take, with the health checks
+	// before it.
+	headBytes = 1000
+	// defaultRemoteKBCost is the default of the setting placement.remote_kb_cost.
+	defaultRemoteKBCost = 0.02
+)
+
+// observeBytes records the bytes of the bodies of a call and its answer. A lost race between
+// two calls loses one of them.
+func (s *routeState) observeBytes(bodies int) {
+	mean, latest := s.meanBytes.Load(), uint64(headBytes+bodies) //nolint:gosec // a length
+	s.meanBytes.Store(mean - mean/bytesWeight + latest/bytesWeight)
+}
+
+// trafficCost returns what a call to another data centre costs, given the cost of a kilobyte.
+func (s *routeState) trafficCost(perKB float64) float64 {
+	return placement.TrafficCost(float64(s.meanBytes.Load()), cmp.Or(perKB, defaultRemoteKBCost))
 }
 
 // routeStateOf returns the route's estimates, which are kept by name across changes of
@@ -241,6 +271,7 @@
 	s, ok := d.routes[r.Name]
 	if !ok {
 		s = &routeState{serviceTimes: placement.NewServiceTimeEstimator(r.Objective), callerWaits: placement.NewWaitEstimator()}
+		s.meanBytes.Store(initialBytes)
 		d.routes[r.Name] = s
 	}
 	return s
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -42,6 +42,7 @@
 type serviceState struct {
 	retryBudget    *placement.RetryBudget
 	checkBudget    placement.TokenBucket
+	crossing       *placement.Crossing
 	loadUnreported atomic.Bool  // a server has answered a health check without its load
 	sends          atomic.Int64 // calls sent to servers of the service
 
@@ -180,8 +181,9 @@
 		return s
 	}
 	b := r.options.Settings.Budgets
-	s := &serviceState{retryBudget: placement.NewRetryBudget(b.RetryRatio, b.RetryWindow.Duration, 1-rand.Float64(), r.options.started)}
+	s := &serviceState{crossing: placement.NewCrossing(), retryBudget: placement.NewRetryBudget(b.RetryRatio, b.RetryWindow.Duration, 1-rand.Float64(), r.options.started)}
 	r.services[name] = s
+	reportRemoteFirst(name, s.crossing)
 	return s
 }
 
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -34,8 +34,10 @@
 	loadReported bool
 	failureRate  float64
 	remote       bool
-	hedge        bool
-	outcome      string
+	// because says why a server of another data centre was looked for.
+	because string
+	hedge   bool
+	outcome string
 }
 
 func (t *trace) markQueued() { t.queued = true }
@@ -46,7 +48,7 @@
 	c := ls.candidate
 	t.sends = append(t.sends, sendTrace{
 		server: ls.target.info.ID, running: c.Running + c.Unreported, waiting: c.Waiting, slots: c.Slots, slowness: c.Slowness,
-		loadAge: now.Sub(ls.answeredAt), loadReported: !ls.answeredAt.IsZero(), failureRate: c.FailureRate, remote: c.Remote,
+		loadAge: now.Sub(ls.answeredAt), loadReported: !ls.answeredAt.IsZero(), failureRate: c.FailureRate, remote: c.Remote, because: ls.because,
 		outcome: "abandoned",
 	})
 	return len(t.sends) - 1
@@ -90,6 +92,9 @@
 		}
 		if s.remote {
 			b.WriteString(" far")
+			if s.because != "" {
+				b.WriteString(":" + s.because)
+			}
 		}
 		if s.hedge {
 			b.WriteString(" hedge")
--- a/internal/placement/estimate.go
+++ b/internal/placement/estimate.go
@@ -31,10 +31,6 @@
 	// crowdedShare is the share of slots in use above which a server counts as nearly
 	// full. It may then slow down, because its calls compete for one processor.
 	crowdedShare = 0.8
-	// remoteCostShare is the cost of a remote server as a share of the objective. A
-	// kilobyte of traffic between data centres costs a few hundredths of the value of an
-	// answer.
-	remoteCostShare = 0.1
 	// failureCostShare is the cost of one failure as a share of the objective: the time
 	// of a second attempt.
 	failureCostShare = 1.0
@@ -51,6 +47,11 @@
 	CrowdedFactor float64
 	// Spread is the standard deviation of the run time as a share of the service time.
 	Spread float64
+	// TrafficCost is what the bytes of the call and its answer cost if it goes to another data
+	// centre, as a share of the value of an answer.
+	TrafficCost float64
+	// MayWait says that the call can wait for a slot and still be in time.
+	MayWait bool
 	// Objective is the time until the latency target, TimeLeft the time until the
 	// deadline, after which the caller no longer waits. Both count from now.
 	Objective, TimeLeft time.Duration
@@ -93,7 +94,7 @@
 	f := min(c.FailureRate, maxFailureRate)
 	cost += f / (1 - f) * failureCostShare * float64(d.Objective)
 	if c.Remote {
-		cost += remoteCostShare * float64(d.Objective)
+		cost += d.TrafficCost * float64(d.Objective)
 	}
 	return time.Duration(cost)
 }
@@ -155,14 +156,6 @@
 	rankCount = iota
 )
 
-// NeedsRemote reports whether servers of other data centres should be checked, given the
-// best local one: if it is full, or too slow to meet the objective. That it failed calls or
-// is a little slow is no reason: calls to other data centres cost more than checks of more
-// local servers.
-func NeedsRemote(best Candidate, d Demand) bool {
-	return !best.HasFreeSlot() || !best.MeetsObjective(d)
-}
-
 // CheckOrder returns the position of a server in the order of health checks, lowest
 // first. A server to which a connection is idle goes before others that are as promising
 // or of unknown load, so that an entry with few calls keeps to few connections. An entry
--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -108,7 +108,7 @@
 // The servers of the local data centre are full while a remote one is idle: calls must go
 // there, but not for a gain that is smaller than the cost of remote traffic.
 func TestRemoteServerIsUsedWhenLocalOnesAreFull(t *testing.T) {
-	d := Demand{ServiceTime: 100 * time.Millisecond, CrowdedFactor: 1, Objective: 400 * time.Millisecond, TimeLeft: time.Second}
+	d := Demand{ServiceTime: 100 * time.Millisecond, CrowdedFactor: 1, TrafficCost: 0.1, Objective: 400 * time.Millisecond, TimeLeft: time.Second}
 	full := Candidate{Running: 6, Waiting: 3, Slots: 6, Slowness: 1}
 	far := Candidate{Slots: 6, Slowness: 1, Remote: true}
 	assert.Equal(t, Best([]Candidate{full, far}, d), 1)
@@ -456,11 +456,12 @@
 // All servers of the own data centre fail some of their calls. A server elsewhere of which
 // nothing bad is known looks better, but calls to it cost more than to check more local ones.
 func TestFailingLocalServersDoNotSendCallsAway(t *testing.T) {
-	d := Demand{ServiceTime: 100 * time.Millisecond, CrowdedFactor: 1, Objective: 300 * time.Millisecond, TimeLeft: time.Second}
-	assert.Assert(t, !NeedsRemote(Candidate{Running: 2, Slots: 6, Slowness: 1, FailureRate: 0.5}, d))
-	assert.Assert(t, !NeedsRemote(Candidate{Running: 2, Slots: 6, Slowness: 2}, d))
-	assert.Assert(t, NeedsRemote(Candidate{Running: 2, Slots: 6, Slowness: 7}, d), "all local servers are slow")
-	assert.Assert(t, NeedsRemote(Candidate{Running: 6, Waiting: 1, Slots: 6, Slowness: 1}, d))
+	d := Demand{ServiceTime: 100 * time.Millisecond, CrowdedFactor: 1, TrafficCost: 0.1, MayWait: true, Objective: 300 * time.Millisecond, TimeLeft: time.Second}
+	x := NewCrossing()
+	assert.Assert(t, !x.Pays(Candidate{Running: 2, Slots: 6, Slowness: 1, FailureRate: 0.5}, d))
+	assert.Assert(t, !x.Pays(Candidate{Running: 2, Slots: 6, Slowness: 2}, d))
+	assert.Assert(t, x.Pays(Candidate{Running: 2, Slots: 6, Slowness: 7}, d), "all local servers are slow")
+	assert.Assert(t, x.Pays(Candidate{Running: 6, Waiting: 1, Slots: 6, Slowness: 1}, d))
 }
 
 // Servers of unknown load to which a connection is idle go before good ones without, and
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -16,6 +16,8 @@
 	VM VM `toml:"vm"`
 	// Budgets bound what all gateways together may spend.
 	Budgets Budgets `toml:"budgets"`
+	// Placement configures the choice of servers.
+	Placement Placement `toml:"placement"`
 	// Stop configures the graceful stop.
 	Stop GatewayStop `toml:"stop"`
 	// Log configures the log.
@@ -82,6 +84,13 @@
 	ColdSlack   float64 `toml:"cold_slack"`
 }
 
+// Placement configures the choice of servers.
+type Placement struct {
+	// RemoteKBCost is what a kilobyte between data centres costs, as a share of the value of an
+	// answer in time; 0 stands for 0.02.
+	RemoteKBCost float64 `toml:"remote_kb_cost"`
+}
+
 // GatewayStop configures a gateway's graceful stop.
 type GatewayStop struct {
 	// Grace is the time from SIGTERM to SIGKILL.
@@ -120,6 +129,9 @@
 	if s.VM.LinkMbps <= 0 || s.VM.LinkMbps > maxLinkMbps {
 		c.add("vm.link_mbps", fmt.Sprintf("is %g", s.VM.LinkMbps), fmt.Sprintf("give a number above 0 and up to %d", maxLinkMbps))
 	}
+	if s.Placement.RemoteKBCost < 0 || s.Placement.RemoteKBCost > 1 {
+		c.add("placement.remote_kb_cost", fmt.Sprintf("is %g", s.Placement.RemoteKBCost), "give a number from 0 to 1; 0 stands for 0.02")
+	}
 	c.duration("budgets.retry_window", s.Budgets.RetryWindow)
 	c.duration("stop.grace", s.Stop.Grace)
 	if s.Budgets.RetryRatio < 0 || s.Budgets.RetrySlack < 0 || s.Budgets.ProbesPerSecond < 0 || s.Budgets.ColdOverage < 0 || s.Budgets.ColdSlack < 0 {
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -411,8 +411,8 @@
 	return written, err
 }
 
-// length returns the number of bytes of the body.
-func (c *Call) length() int {
+// BodyBytes returns the number of bytes of the body.
+func (c *Call) BodyBytes() int {
 	n := 0
 	for _, piece := range c.Body {
 		n += len(piece)
@@ -424,7 +424,7 @@
 func (s *Server) encodeHead(call *Call) []byte {
 	d := s.options.Dialect
 	left := max(time.Until(call.Deadline).Milliseconds(), 1)
-	bodyBytes := call.length()
+	bodyBytes := call.BodyBytes()
 	out := make([]byte, 0, len(call.Head)+len(call.Target)+min(bodyBytes, joinedBytes)+256)
 	out = append(out, call.Method...)
 	out = append(out, ' ')
