gateway: Take first requests on a connection for possible retries

Change: callers open a new connection for each retry, so a request on a kept connection is a first attempt; one that comes first on its connection may have the extra sends that are kept for retries.

--- a/Makefile
+++ b/Makefile
@@ -87,7 +87,7 @@
 SOAK_SECONDS := 8
 # Seeds that are run in CI, with their faults: one, and those that ever failed,
 # which are listed in proof/soak/seeds.txt.
-SOAK_SHORT := 1@general $(shell sed -n 's/^\([0-9][^ ]*\) .*/\1/p' proof/soak/seeds.txt)
+SOAK_SHORT := 1@general 1@places $(shell sed -n 's/^\([0-9][^ ]*\) .*/\1/p' proof/soak/seeds.txt)
 
 # Runs the fault soak: one seed, or fresh seeds for some minutes, or a short run; with
 # GATEWAYS=60 of many processes.
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -29,7 +29,8 @@
 	// objectiveEnd is when the route's latency objective ends. It counts from the
 	// caller's first attempt, which may have been sent to another gateway.
 	objectiveEnd time.Time
-	// cameBack says that the caller has had an attempt before this one.
+	// cameBack says that the caller may have had an attempt before this one. Callers open a new
+	// connection for each retry, so a request on a kept one is a first attempt.
 	cameBack bool
 	trace    *trace
 	answers  *answerBodies
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -89,7 +89,7 @@
 			ID: id, Method: r.Method, Target: r.RequestURI, Head: upstreamHeader(r, h.options.Dialect), Body: body,
 		},
 		received: received, deadline: received.Add(timeout), objectiveEnd: received.Add(route.Objective - waited),
-		cameBack: waited > 0,
+		cameBack: waited > 0 || httpserver.FirstOnConnection(r.Context()),
 		trace:    &trace{arrival: httpserver.ArrivalTime(r.Context())},
 		answers:  &answerBodies{},
 	}, answer{}
--- a/internal/httpserver/answer.go
+++ b/internal/httpserver/answer.go
@@ -169,6 +169,14 @@
 	return d
 }
 
+type firstKey struct{}
+
+// FirstOnConnection reports whether a request is the first one on its connection.
+func FirstOnConnection(ctx context.Context) bool {
+	first, _ := ctx.Value(firstKey{}).(bool)
+	return first
+}
+
 // takeArrival returns the context and the body of the oldest request that is not handled yet.
 func (c *conn) takeArrival() (context.Context, memory.RequestBody) {
 	c.mu.Lock()
@@ -178,10 +186,14 @@
 	}
 	a := c.arrived[0]
 	c.arrived = c.arrived[1:]
-	if a.took < slowArrival {
-		return c.calls, a.body
+	ctx := c.calls
+	if a.first {
+		ctx = context.WithValue(ctx, firstKey{}, true)
+	}
+	if a.took >= slowArrival {
+		ctx = context.WithValue(ctx, arrivalKey{}, a.took)
 	}
-	return context.WithValue(c.calls, arrivalKey{}, a.took), a.body
+	return ctx, a.body
 }
 
 // respond runs the handler and sends its answer when its turn has come.
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -39,6 +39,7 @@
 	tail    <-chan struct{} // closed when the last answer so far is sent
 	heardAt time.Time       // when the connection was opened, or the caller last sent something
 	served  bool            // a request was answered on the connection
+	begun   bool            // a request has arrived on the connection
 }
 
 // request is what the guard knows of a request until it is answered.
@@ -49,8 +50,9 @@
 
 // arrival is a request that has arrived.
 type arrival struct {
-	took time.Duration // from its first byte to its last
-	body memory.RequestBody
+	took  time.Duration // from its first byte to its last
+	first bool          // on its connection
+	body  memory.RequestBody
 }
 
 func newConn(s *Server, nbc *nbio.Conn) *conn {
--- a/internal/httpserver/guard.go
+++ b/internal/httpserver/guard.go
@@ -174,7 +174,8 @@
 	}
 	c.stopTimer()
 	g.close = g.close || c.server.draining.Load()
-	c.arrived = append(c.arrived, arrival{took: time.Since(g.began), body: g.body})
+	c.arrived = append(c.arrived, arrival{took: time.Since(g.began), first: !c.begun, body: g.body})
+	c.begun = true
 	c.push(request{receipt: g.receipt, close: g.close})
 	head := g.head
 	if g.part != inHead {
--- a/internal/standin/gateway.go
+++ b/internal/standin/gateway.go
@@ -22,6 +22,9 @@
 	Store string
 	// RetrySlack and ProbesPerSecond are the fleet's budgets.
 	RetrySlack, ProbesPerSecond int
+	// ColdOverage and ColdSlack bound the requests at a cold server; 0 for no bound.
+	ColdOverage float64
+	ColdSlack   int
 	// RetryWindow is the window of the retry budget; the default is 10 s.
 	RetryWindow time.Duration
 	// MaxFDs is the number of descriptors of the gateway's VM; the default is no bound.
@@ -74,6 +77,8 @@
 retry_slack = %[6]d
 retry_window = %[9]q
 probes_per_second = %[7]d
+cold_overage = %[11]g
+cold_slack = %[12]d
 [stop]
 grace = "6s"
 `
@@ -87,6 +92,6 @@
 	for _, host := range s.Seeds {
 		seeds = append(seeds, fmt.Sprintf("\"%s:%d\"", host, gatewayFleetPort))
 	}
-	text := fmt.Sprintf(gatewaySettings, s.ID, s.Zone, s.Host, strings.Join(seeds, ", "), s.Store, s.RetrySlack, s.ProbesPerSecond, s.Memory(), cmp.Or(s.RetryWindow, defaultRetryWindow).String(), s.MaxFDs)
+	text := fmt.Sprintf(gatewaySettings, s.ID, s.Zone, s.Host, strings.Join(seeds, ", "), s.Store, s.RetrySlack, s.ProbesPerSecond, s.Memory(), cmp.Or(s.RetryWindow, defaultRetryWindow).String(), s.MaxFDs, s.ColdOverage, s.ColdSlack)
 	return errors.Wrap(os.WriteFile(file, []byte(text), 0o600), "write a gateway's settings")
 }
--- a/proof/soak/doc.go
+++ b/proof/soak/doc.go
@@ -5,8 +5,9 @@
 // Callers send plain requests, or pipeline them, or are slow: they send heads and
 // bodies in pieces, read in pieces, are behind a slow link, or ask for large answers
 // and long work. They keep their connections until the gateway ends them or a stop is
-// over. The faults are in three groups: general, stops (planned stops in unusual
-// orders) and endless (servers that send without end). A seed draws the same faults as
+// over. The faults are in groups: general, stops (planned stops in unusual orders), endless
+// (servers that send without end), refusals (services that refuse everything) and places
+// (data centres that are evacuated and come back cold). A seed draws the same faults as
 // long as its groups stay as they are; it does not fix what happens when.
 //
 // A gateway must take no answer from a caller, in a planned stop or at any other time
--- a/proof/soak/fleet.go
+++ b/proof/soak/fleet.go
@@ -60,6 +60,7 @@
 	server  *fake.Server
 	relay   *standin.Relay
 	service string
+	zone    string
 	mu      sync.Mutex
 	left    time.Time // when the store took that it leaves
 	// saysLeaving is set once the server's answers say that it leaves.
@@ -86,7 +87,7 @@
 		g.log = filepath.Join(s.dir, g.id+".log")
 		settings := standin.GatewaySettings{
 			ID: g.id, Zone: zone(i), Host: host, Seeds: hosts[:min(3, len(hosts))], Store: relay.Address,
-			RetrySlack: retrySlack, ProbesPerSecond: probesPerSecond,
+			RetrySlack: retrySlack, ProbesPerSecond: probesPerSecond, ColdOverage: coldOverage, ColdSlack: coldSlack,
 		}
 		if err := settings.Write(g.settings); err != nil {
 			return err
@@ -268,7 +269,7 @@
 		return err
 	}
 	server.Advertise(relay.Address)
-	n := &serverNode{server: server, relay: relay, service: service}
+	n := &serverNode{server: server, relay: relay, service: service, zone: o.Zone}
 	s.mu.Lock()
 	s.servers = append(s.servers, n)
 	s.mu.Unlock()
--- a/proof/soak/soak.go
+++ b/proof/soak/soak.go
@@ -73,9 +73,12 @@
 	rest     sync.WaitGroup // of faults that go on beside others
 	// restarting is held while the gateways restart and a service refuses.
 	restarting sync.Mutex
+	// evacuating is held while a data centre is evacuated.
+	evacuating sync.Mutex
 
 	mu          sync.Mutex
 	servers     []*serverNode
+	places      map[string]place // by data centre
 	claims      []claim
 	leaving     map[leavingAnswer]time.Time // when a caller first got such an answer
 	behind      []claim                     // sent behind an answer that ended their connections
@@ -99,7 +102,7 @@
 	}
 	s := &Soak{
 		options: o, dir: dir, store: fake.NewStore(), begin: time.Now(), memory: standin.GatewaySettings{}.Memory(),
-		leaving: make(map[leavingAnswer]time.Time), lostBy: make(map[string]int),
+		places: make(map[string]place), leaving: make(map[leavingAnswer]time.Time), lostBy: make(map[string]int),
 	}
 	defer s.close()
 	if total, err := machineMemory(); err != nil || o.Gateways*s.memory > total/2 {
@@ -203,6 +206,7 @@
 		s.violation("", "%.0f health checks a server and second, %d are allowed", rate, probesPerSecond)
 	}
 	s.checkStanding()
+	s.checkPlaces()
 	s.note(fmt.Sprintf("%d requests, %d health checks, %d calls to the store, %d MB at most in a gateway, %.2f of the retry budget", len(s.claims), checks, s.store.Calls(), s.peak, used))
 }
 
