placement, gateway: Let queued calls and scarce health checks leave the data centre

Calls that wait asked local servers only, and where few health checks were left a call asked two local ones and none elsewhere, so the share of calls that look elsewhere first stayed low too.

Change: a search counts as one that had better leave also if no check of other data centres is left to it; calls that wait, searches with few checks and choices without any follow the share. Calls whose bytes are dear do not.

--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -136,51 +136,62 @@
 	}
 	local := eligibleTargets(svc.local, svc.state, tried, demand, now)
 	var best *leasedServer
-	crossing := svc.state.crossing
-	remoteFirst := len(local) > 0 && limit == maxChecks && crossing.RemoteFirst(rand.Float64(), now)
-	if remoteFirst {
-		remote := eligibleTargets(svc.remote, svc.state, tried, demand, now)
-		best = d.checkRemote(ctx, svc, remote[:min(concurrentChecks, len(remote))], nil, demand, rate)
-		if best != nil && best.candidate.Good(demand) {
-			best.because = "remote-first"
-			return best
-		}
-		limit -= concurrentChecks
+	if len(local) > 0 && svc.state.crossing.RemoteFirst(demand, rand.Float64(), now) {
+		best = d.findRemoteFirst(ctx, svc, local[:min(limit-concurrentChecks, len(local))], demand, tried, rate)
+	} else {
+		best = d.findLocalFirst(ctx, svc, local, limit, demand, tried, rate)
 	}
-	first := min(maxLocalChecks, limit, len(local))
-	best = d.checkUntilGood(ctx, svc, local[:first], best, demand, rate)
+	if best != nil {
+		return best
+	}
+	return d.chooseUnchecked(ctx, svc, demand, tried, now)
+}
+
+// findRemoteFirst checks servers of other data centres, and then some local ones if none is good.
+func (d *dispatcher) findRemoteFirst(ctx context.Context, svc *service, local []*target, demand placement.Demand, tried map[*upstream.Server]bool, rate float64) *leasedServer {
+	remote := eligibleTargets(svc.remote, svc.state, tried, demand, time.Now())
+	best := d.checkRemote(ctx, svc, remote[:min(concurrentChecks, len(remote))], nil, demand, rate)
 	if best == nil || !best.candidate.Good(demand) {
-		more := local[first:]
-		if because, leaves := whyLeave(best, crossing, demand, len(more)); leaves && !remoteFirst {
-			more = eligibleTargets(svc.remote, svc.state, tried, demand, now)
-			best = d.checkRemote(ctx, svc, more[:min(limit-first, len(more))], best, demand, rate)
-			best.setBecause(because)
-		} else {
-			best = d.checkUntilGood(ctx, svc, more[:min(limit-first, len(more))], best, demand, rate)
-		}
+		best = d.checkUntilGood(ctx, svc, local, best, demand, rate)
 	}
-	if best == nil {
-		return d.chooseUnchecked(ctx, svc, demand, tried, now)
+	best.setBecause("remote-first")
+	return best
+}
+
+// findLocalFirst checks local servers. If none is good it checks some of other data centres, if
+// that pays, or more of the local ones, up to a limit of checks in all.
+func (d *dispatcher) findLocalFirst(ctx context.Context, svc *service, local []*target, limit int, demand placement.Demand, tried map[*upstream.Server]bool, rate float64) *leasedServer {
+	first := min(maxLocalChecks, limit, len(local))
+	best := d.checkUntilGood(ctx, svc, local[:first], nil, demand, rate)
+	because := svc.state.whyLeave(best, demand)
+	if len(local) > 0 {
+		svc.state.crossing.Observe(because != "", time.Now())
+	}
+	if best != nil && best.candidate.Good(demand) {
+		return best
 	}
-	if !remoteFirst && len(local) > 0 {
-		crossing.Observe(best.candidate.Remote, now)
+	more := local[first:]
+	if because == "" && len(more) > 0 {
+		return d.checkUntilGood(ctx, svc, more[:min(limit-first, len(more))], best, demand, rate)
 	}
+	more = eligibleTargets(svc.remote, svc.state, tried, demand, time.Now())
+	best = d.checkRemote(ctx, svc, more[:min(limit-first, len(more))], best, demand, rate)
+	best.setBecause(cmp.Or(because, "none-other-here"))
 	return best
 }
 
-// whyLeave returns why servers of other data centres are checked, given the best of the own
-// one, which may be nil, and the number of others there; leaves is false if they aren't.
-func whyLeave(best *leasedServer, crossing *placement.Crossing, demand placement.Demand, others int) (because string, leaves bool) {
+// whyLeave returns why a request had better leave the data centre, given the best server found
+// there, which may be nil; it is empty if the request had better stay.
+func (s *serviceState) whyLeave(best *leasedServer, demand placement.Demand) string {
 	switch {
 	case best == nil:
-		return "none-here", true
-	case crossing.Pays(best.candidate, demand):
-		if best.candidate.HasFreeSlot() {
-			return "late-here", true
-		}
-		return "full-here", true
+		return "none-here"
+	case !s.crossing.Pays(best.candidate, demand):
+		return ""
+	case best.candidate.HasFreeSlot():
+		return "late-here"
 	default:
-		return "none-other-here", others == 0
+		return "full-here"
 	}
 }
 
@@ -228,11 +239,14 @@
 	if !svc.state.checkBudget.HasSpare(rate, now) {
 		return nil
 	}
-	order := eligibleTargets(svc.local, svc.state, tried, demand, now)
-	if len(order) < concurrentChecks {
-		order = append(order, eligibleTargets(svc.remote, svc.state, tried, demand, now)...)
+	local := eligibleTargets(svc.local, svc.state, tried, demand, now)
+	if len(local) == 0 || svc.state.crossing.RemoteFirst(demand, rand.Float64(), now) {
+		return d.findRemoteFirst(ctx, svc, nil, demand, tried, rate)
+	}
+	found, allowed := d.checkTargets(ctx, svc, local[:min(concurrentChecks, len(local))], demand, rate)
+	if allowed {
+		svc.state.crossing.Observe(svc.state.whyLeave(found, demand) != "", now)
 	}
-	found, _ := d.checkTargets(ctx, svc, order[:min(concurrentChecks, len(order))], demand, rate)
 	return found
 }
 
@@ -353,9 +367,13 @@
 	if ctx.Err() != nil {
 		return nil
 	}
-	targets := eligibleTargets(svc.local, svc.state, tried, demand, now)
+	nearest, others := svc.local, svc.remote
+	if svc.state.crossing.RemoteFirst(demand, rand.Float64(), now) {
+		nearest, others = others, nearest
+	}
+	targets := eligibleTargets(nearest, svc.state, tried, demand, now)
 	if len(targets) == 0 {
-		targets = eligibleTargets(svc.remote, svc.state, tried, demand, now)
+		targets = eligibleTargets(others, svc.state, tried, demand, now)
 	}
 	if len(targets) == 0 {
 		targets = leftOutTargets(svc, tried, now)
--- a/internal/placement/crossing.go
+++ b/internal/placement/crossing.go
@@ -14,8 +14,8 @@
 // concurrent use.
 type Crossing struct {
 	mu sync.Mutex
-	// leaving is the share of the latest calls that looked in the own data centre first and
-	// were sent elsewhere.
+	// leaving is the share of the latest calls that looked in the own data centre first and had
+	// better leave it.
 	leaving float64
 	// remoteRisk is the mean probability of a late answer at the best servers found elsewhere.
 	remoteRisk float64
@@ -34,6 +34,8 @@
 	// maxRemoteFirst keeps some calls looking in the own data centre first, since only they tell
 	// when it has room again.
 	maxRemoteFirst = 0.8
+	// dearTraffic is the cost of a call's traffic from which it is dear.
+	dearTraffic = 0.5
 	// initialRemoteRisk is assumed of servers elsewhere until some were asked.
 	initialRemoteRisk = 0.02
 )
@@ -42,12 +44,9 @@
 func NewCrossing() *Crossing { return &Crossing{remoteRisk: initialRemoteRisk} }
 
 // RemoteFirst reports whether a call looks in other data centres first; draw is a random number
-// from 0 to 1.
-func (x *Crossing) RemoteFirst(draw float64, now time.Time) bool {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	share := x.leavingAt(now)
-	return share >= minLeavingShare && draw < min(share, maxRemoteFirst)
+// from 0 to 1. A call whose traffic is dear leaves only if it finds no room here.
+func (x *Crossing) RemoteFirst(d Demand, draw float64, now time.Time) bool {
+	return d.TrafficCost < dearTraffic && draw < x.Share(now)
 }
 
 // Share returns the share of calls that look in other data centres first.
@@ -69,8 +68,8 @@
 	return x.leaving * math.Exp2(-now.Sub(x.at).Seconds()/crossingHalfLife.Seconds())
 }
 
-// Observe records the end of a search that began in the own data centre: whether the call left
-// it, or would have if a server elsewhere had been better.
+// Observe records what a search in the own data centre has found: whether the call had better
+// leave it, also if no check of servers elsewhere is left to it.
 func (x *Crossing) Observe(left bool, now time.Time) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
