gateway: Learn nothing about full data centres from checks that were not made

Cause: with the budget of health checks used up, a search that asked nobody counted as one that found no server in its data centre, so that calls looked elsewhere although there may be room. Found by reading. A body of the largest size did not fit into callers.memory_bytes of the same size any more, since its head counts too.

Change: only searches in which servers were asked count. Proofs of evacuations with the deliberate defect, also in make soak-defects.

--- a/Makefile
+++ b/Makefile
@@ -97,9 +97,9 @@
 # Shows that the soak finds each deliberate defect: every line must end in violations.
 soak-defects:
 	go build -tags defects -o $(BIN)/defects/ ./cmd/baobabstack
-	@for defect in gateway-resend-unsafe gateway-refuse-unknown gateway-ignore-leaving gateway-ignore-standing gateway-pass-cut-answers; do \
+	@for defect in gateway-resend-unsafe gateway-refuse-unknown gateway-ignore-leaving gateway-ignore-standing gateway-pass-cut-answers gateway-ignore-evacuation; do \
 		echo "== $$defect"; \
-		if $(BIN)/soak --binary $(BIN)/defects/baobabstack --defect $$defect --seconds 25 --seed 1@general --seed 2@general | grep -E '^(seed|VIOLATION)' | head -3; then :; fi; \
+		if $(BIN)/soak --binary $(BIN)/defects/baobabstack --defect $$defect --seconds 25 --seed 1@general --seed 2@general --seed 1@places | grep -E '^(seed|VIOLATION)' | head -3; then :; fi; \
 	done
 
 .PHONY: scores
--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -122,9 +122,10 @@
 
 // findServer checks servers of the gateway's own data centre until one is good. If none
 // is, it checks others: in other data centres if that pays, else more of its own. A part of
-// the calls looks in other data centres first, see placement.Crossing. It returns the best one. It chooses a server without a check if no
-// checked server accepts requests, if the service's servers don't report their load, or
-// if the budget of checks is used up. It returns nil if no connection can be opened.
+// the calls looks in other data centres first, see placement.Crossing. It returns the best
+// one. It chooses a server without a check if no checked server accepts requests, if the
+// service's servers don't report their load, or if the budget of checks is used up. It returns
+// nil if no connection can be opened.
 func (d *dispatcher) findServer(ctx context.Context, svc *service, demand placement.Demand, tried map[*upstream.Server]bool) *leasedServer {
 	now := time.Now()
 	if svc.state.loadUnreported.Load() {
@@ -152,7 +153,7 @@
 	remote := eligibleTargets(svc.remote, svc.state, tried, demand, time.Now())
 	best := d.checkRemote(ctx, svc, remote[:min(concurrentChecks, len(remote))], nil, demand, rate)
 	if best == nil || !best.candidate.Good(demand) {
-		best = d.checkUntilGood(ctx, svc, local, best, demand, rate)
+		best, _ = d.checkUntilGood(ctx, svc, local, best, demand, rate)
 	}
 	best.setBecause("remote-first")
 	return best
@@ -162,9 +163,9 @@
 // that pays, or more of the local ones, up to a limit of checks in all.
 func (d *dispatcher) findLocalFirst(ctx context.Context, svc *service, local []*target, limit int, demand placement.Demand, tried map[*upstream.Server]bool, rate float64) *leasedServer {
 	first := min(maxLocalChecks, limit, len(local))
-	best := d.checkUntilGood(ctx, svc, local[:first], nil, demand, rate)
+	best, allowed := d.checkUntilGood(ctx, svc, local[:first], nil, demand, rate)
 	because := svc.state.whyLeave(best, demand)
-	if len(local) > 0 {
+	if len(local) > 0 && (allowed || best != nil) { // else nothing is known of the local servers
 		svc.state.crossing.Observe(because != "", time.Now())
 	}
 	if best != nil && best.candidate.Good(demand) {
@@ -172,7 +173,8 @@
 	}
 	more := local[first:]
 	if because == "" && len(more) > 0 {
-		return d.checkUntilGood(ctx, svc, more[:min(limit-first, len(more))], best, demand, rate)
+		best, _ = d.checkUntilGood(ctx, svc, more[:min(limit-first, len(more))], best, demand, rate)
+		return best
 	}
 	more = eligibleTargets(svc.remote, svc.state, tried, demand, time.Now())
 	best = d.checkRemote(ctx, svc, more[:min(limit-first, len(more))], best, demand, rate)
@@ -204,7 +206,7 @@
 
 // checkRemote is checkUntilGood for servers of other data centres.
 func (d *dispatcher) checkRemote(ctx context.Context, svc *service, order []*target, best *leasedServer, demand placement.Demand, rate float64) *leasedServer {
-	found := d.checkUntilGood(ctx, svc, order, nil, demand, rate)
+	found, _ := d.checkUntilGood(ctx, svc, order, nil, demand, rate)
 	if found != nil {
 		svc.state.crossing.ObserveRemote(found.candidate, demand)
 	}
@@ -213,18 +215,18 @@
 
 // checkUntilGood checks servers in the given order, concurrentChecks at a time, until the
 // best found so far is good or the budget of checks is used up. It returns the best, which
-// may be the given one or nil.
-func (d *dispatcher) checkUntilGood(ctx context.Context, svc *service, order []*target, best *leasedServer, demand placement.Demand, rate float64) *leasedServer {
+// may be the given one or nil; allowed is false if the budget was used up.
+func (d *dispatcher) checkUntilGood(ctx context.Context, svc *service, order []*target, best *leasedServer, demand placement.Demand, rate float64) (_ *leasedServer, allowed bool) {
 	for len(order) > 0 && (best == nil || !best.candidate.Good(demand)) {
 		n := min(concurrentChecks, len(order))
 		found, allowed := d.checkTargets(ctx, svc, order[:n], demand, rate)
 		if !allowed {
-			break
+			return best, false
 		}
 		best = better(best, found, demand)
 		order = order[n:]
 	}
-	return best
+	return best, true
 }
 
 // findForQueued checks a few servers for a request in the queue. The last health checks
--- a/internal/httpserver/crowd_test.go
+++ b/internal/httpserver/crowd_test.go
@@ -82,3 +82,20 @@
 	}
 	get(served, reader)
 }
+
+// Guards against a body within the limits that never fits, because its head counts too.
+func TestBodyMayTakeAllTheMemory(t *testing.T) {
+	const size = 200_000
+	s := startTest(t, Options{MaxBodyBytes: size, MemoryBytes: size + MaxHeadMemory, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		fmt.Fprint(w, len(body))
+	})})
+	for range 2 {
+		c := dialTest(t, s)
+		_, err := fmt.Fprintf(c, "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("b", size))
+		assert.NilError(t, err)
+		res, body := readAnswer(t, bufio.NewReader(c), http.MethodPost)
+		assert.Equal(t, res.StatusCode, http.StatusOK)
+		assert.Equal(t, body, fmt.Sprint(size))
+	}
+}
--- a/internal/httpserver/guard.go
+++ b/internal/httpserver/guard.go
@@ -118,6 +118,9 @@
 // came, in the parsed request, and in the request that the handler sends on.
 const headCopies = 3
 
+// MaxHeadMemory is the most that the head of a request counts.
+const MaxHeadMemory = headCopies * maxHeadBytes
+
 // beginReceipt returns the receipt of a request that begins.
 func (c *conn) beginReceipt() *memory.Receipt {
 	var r *memory.Receipt
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -33,7 +33,7 @@
 	// MaxBodyBytes bounds a request's body, and an answer's beside its head.
 	MaxBodyBytes int
 	// MemoryBytes bounds what the requests of all connections hold, an eighth more for small
-	// ones; 0 sets no bound.
+	// ones; 0 sets no bound. A request with the largest body needs MaxHeadMemory beside it.
 	MemoryBytes int
 	// MaxConnections bounds the open connections. At the bound, a new one takes the place of
 	// one whose caller is silent. The default is 32,768.
