cli: Check a configuration before it is sent

Cause: operators could check settings and lists, but not the configuration that they write to the platform's store.

--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -16,12 +16,19 @@
 	Gateway    string `long:"gateway" value-name:"FILE" description:"Settings file of a gateway (TOML)"`
 	Plans      string `long:"plans" value-name:"FILE" description:"Plans list (TOML)"`
 	Allowances string `long:"allowances" value-name:"FILE" description:"Allowances list (TOML)"`
+
+	Configuration string `long:"configuration" value-name:"FILE" description:"Configuration as the operator writes it to the platform's store (JSON)"`
+	InForce       string `long:"in-force" value-name:"FILE" description:"Configuration in force, to compare with (JSON)"`
+	Store         string `long:"store" value-name:"IP:PORT" description:"Store to read the configuration in force from"`
+	MemoryMB      int    `long:"memory-mb" value-name:"MB" description:"Memory of the smallest entry VM, for the limits on bodies"`
+	JSON          bool   `long:"json" description:"Print the findings on a configuration as JSON"`
+	Strict        bool   `long:"strict" description:"Exit with 1 if a configuration has warnings or differs from the one in force"`
 }
 
 // Execute checks the files that are named.
 func (c *checkCommand) Execute([]string) error {
-	if c.Settings == "" && c.Gateway == "" && c.Plans == "" && c.Allowances == "" {
-		return &flags.Error{Type: flags.ErrRequired, Message: "name at least one of --settings, --gateway, --plans and --allowances"}
+	if c.Settings == "" && c.Gateway == "" && c.Plans == "" && c.Allowances == "" && c.Configuration == "" {
+		return &flags.Error{Type: flags.ErrRequired, Message: "name at least one of --settings, --gateway, --plans, --allowances and --configuration"}
 	}
 	var all []error
 	if c.Settings != "" {
@@ -33,7 +40,10 @@
 		all = append(all, faults...)
 	}
 	all = append(all, c.checkLists()...)
-	return c.faults(all)
+	if err := c.faults(all); err != nil || c.Configuration == "" {
+		return err
+	}
+	return c.checkConfiguration()
 }
 
 func (c *checkCommand) checkLists() []error {
--- a/internal/cli/check_test.go
+++ b/internal/cli/check_test.go
@@ -122,3 +122,42 @@
 	assert.Equal(t, Run([]string{"check", "--gateway", file}, &out, &errOut), exitBadInput)
 	assert.Assert(t, strings.Contains(errOut.String(), file+":2: entry.id: is missing; give the VM's id"), errOut.String())
 }
+
+func configurationText(version, timeout, host string) string {
+	return `{"version":"` + version + `","routes":[{"name":"r","host":"` + host + `","prefix":"/","route_type":"safe","service":"s","timeout":"` + timeout + `","target_latency":"200ms","attempts":2}],` +
+		`"services":[{"name":"s","health_path":"/health","max_connections":4}],"limits":{"max_body_bytes":1000,"header_timeout":"3s","idle_timeout":"15s"}}`
+}
+
+// Guards against exit statuses and lines by which scripts of operators decide.
+func TestCheckOfAConfiguration(t *testing.T) {
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		file := filepath.Join(dir, name)
+		assert.NilError(t, os.WriteFile(file, []byte(text), 0o600))
+		return file
+	}
+	good, inForce := write("good.json", configurationText("00000002", "1s", "a.example")), write("old.json", configurationText("00000001", "2s", "a.example"))
+	run := func(args ...string) (int, string) {
+		var out, errOut bytes.Buffer
+		status := Run(append([]string{"check"}, args...), &out, &errOut)
+		return status, out.String()
+	}
+	status, lines := run("--configuration", good, "--strict")
+	assert.Equal(t, status, exitOK, lines)
+	assert.Equal(t, lines, "")
+
+	status, lines = run("--configuration", good, "--in-force", inForce)
+	assert.Equal(t, status, exitOK)
+	assert.Assert(t, strings.HasPrefix(lines, "change: route r: changes from a.example/ to s*1, idempotent true, attempts 2, timeout 2s"), lines)
+	status, _ = run("--configuration", good, "--in-force", inForce, "--strict")
+	assert.Equal(t, status, exitFailed)
+
+	status, lines = run("--configuration", write("odd.json", configurationText("00000002", "1s", "a.example:80")), "--json")
+	assert.Equal(t, status, exitOK)
+	assert.Assert(t, strings.Contains(lines, `"severity": "warning"`) && strings.Contains(lines, `"place": "route r"`), lines)
+
+	status, lines = run("--configuration", write("bad.json", configurationText("0000000x", "1s", "a.example")))
+	assert.Equal(t, status, exitBadInput)
+	assert.Assert(t, strings.HasPrefix(lines, "error: op/config: version: is not a 32-bit hexadecimal number"), lines)
+	assert.Assert(t, strings.Contains(lines, "use eight hexadecimal digits"), lines)
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -19,6 +19,7 @@
 	"github.com/baobabstack/baobabstack/internal/fleetwire"
 	"github.com/baobabstack/baobabstack/internal/httpserver"
 	"github.com/baobabstack/baobabstack/internal/logs"
+	"github.com/baobabstack/baobabstack/internal/routing"
 	"github.com/baobabstack/baobabstack/internal/settings"
 	"github.com/baobabstack/baobabstack/internal/tree"
 	"github.com/baobabstack/baobabstack/internal/upstream"
@@ -98,7 +99,7 @@
 	})
 	callers := &callersListener{options: httpserver.Options{
 		Name: "callers", Address: s.Listen.Callers, Handler: h, MaxBodyBytes: o.MaxBodyBytes,
-		MemoryBytes: int(bodyMemoryShare * float64(s.VM.MemoryMB) * (1 << 20)), IdleTimeout: callerIdleTimeout, Limits: h.limits,
+		MemoryBytes: requestMemoryBytes(s.VM.MemoryMB), IdleTimeout: callerIdleTimeout, Limits: h.limits,
 		MaxConnections: maxCallerConnections(s.VM.MaxFDs), MinBodyRate: s.VM.MinBodyRate, IDHeader: o.Dialect.CallID,
 	}}
 	reportHeldBytes(callers)
@@ -164,6 +165,17 @@
 	metrics.GetOrCreateGauge("baobabstack_gateway_requests_given_up_for_memory", held(func(_, _, givenUp int) int { return givenUp }))
 }
 
+// Bounds returns the bounds of a gateway on a VM with the given MB, 0 if that is not known.
+func Bounds(vmMB int) routing.Bounds {
+	return routing.Bounds{
+		HeadBytes: httpserver.MaxHeadBytes, BodyBytes: defaultMaxBodyBytes, RequestBytes: requestMemoryBytes(vmMB),
+		RequestTimeout: httpserver.DefaultRequestTimeout, IdleTimeout: callerIdleTimeout,
+	}
+}
+
+// requestMemoryBytes returns the memory for requests on a VM with the given MB.
+func requestMemoryBytes(vmMB int) int { return int(bodyMemoryShare * float64(vmMB) * (1 << 20)) }
+
 // fleetSize returns the number of gateways that share the fleet's budgets.
 func (o *Options) fleetSize(now time.Time) fleet.Size {
 	return o.Members.Size(o.Settings.Budgets.RetryWindow.Duration, now)
--- a/internal/httpserver/fuzz_test.go
+++ b/internal/httpserver/fuzz_test.go
@@ -21,7 +21,7 @@
 	f.Add([]byte("POST /a HTTP/1.0\r\nTransfer-encoding: chunked\r\n\r\n"), 3)
 	f.Fuzz(func(t *testing.T, data []byte, cut int) {
 		var whole headScanner
-		n, done, refused := whole.scan(data, maxHeadBytes)
+		n, done, refused := whole.scan(data, MaxHeadBytes)
 		checkPieces(t, data, cut, n, done, refused)
 		if refused != nil || !done {
 			return
@@ -48,13 +48,13 @@
 	t.Helper()
 	cut = max(min(cut, len(data)), 0)
 	var s headScanner
-	first, firstDone, firstRefused := s.scan(data[:cut], maxHeadBytes)
+	first, firstDone, firstRefused := s.scan(data[:cut], MaxHeadBytes)
 	if firstDone || firstRefused != nil {
 		assert.Equal(t, firstDone, done)
 		assert.Equal(t, firstRefused, refused)
 		return
 	}
-	second, secondDone, secondRefused := s.scan(data[cut:], maxHeadBytes)
+	second, secondDone, secondRefused := s.scan(data[cut:], MaxHeadBytes)
 	assert.Equal(t, secondDone, done)
 	assert.Equal(t, secondRefused, refused)
 	if done {
--- a/internal/httpserver/guard.go
+++ b/internal/httpserver/guard.go
@@ -119,7 +119,7 @@
 const headCopies = 3
 
 // MaxHeadMemory is the most that the head of a request counts.
-const MaxHeadMemory = headCopies * maxHeadBytes
+const MaxHeadMemory = headCopies * MaxHeadBytes
 
 // beginReceipt returns the receipt of a request that begins.
 func (c *conn) beginReceipt() *memory.Receipt {
@@ -239,7 +239,7 @@
 // carriesTicket reports whether the bytes of a refused head, which came in two
 // pieces, name a ticket.
 func carriesTicket(first, second []byte) bool {
-	head := bytes.ToLower(append(bytes.Clone(first), second[:min(len(second), maxHeadBytes)]...))
+	head := bytes.ToLower(append(bytes.Clone(first), second[:min(len(second), MaxHeadBytes)]...))
 	return bytes.Contains(head, ticketName)
 }
 
--- a/internal/httpserver/limits.go
+++ b/internal/httpserver/limits.go
@@ -5,7 +5,7 @@
 // Limits bound what callers may send. They may change while a listener runs; a
 // field that is zero leaves the bound of the options in force.
 type Limits struct {
-	// HeadBytes bounds a request's head, up to maxHeadBytes.
+	// HeadBytes bounds a request's head, up to MaxHeadBytes.
 	HeadBytes int
 	// BodyBytes bounds a request's body, up to the options' bound.
 	BodyBytes int
@@ -23,7 +23,7 @@
 		l = s.options.Limits()
 	}
 	return Limits{
-		HeadBytes:   within(l.HeadBytes, maxHeadBytes),
+		HeadBytes:   within(l.HeadBytes, MaxHeadBytes),
 		BodyBytes:   within(l.BodyBytes, s.options.MaxBodyBytes),
 		HeadTimeout: within(l.HeadTimeout, s.options.RequestTimeout),
 		IdleTimeout: within(l.IdleTimeout, s.options.IdleTimeout),
--- a/internal/httpserver/limits_test.go
+++ b/internal/httpserver/limits_test.go
@@ -77,7 +77,7 @@
 	assert.NilError(t, err)
 	begin := time.Now()
 	checkRefusedWith(t, slow, http.StatusRequestTimeout, "unknown")
-	assert.Assert(t, time.Since(begin) < 3*time.Second, "the listener's own bound is %s", defaultRequestTimeout)
+	assert.Assert(t, time.Since(begin) < 3*time.Second, "the listener's own bound is %s", DefaultRequestTimeout)
 }
 
 func TestIdleConnectionsCloseAtTheLimit(t *testing.T) {
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -60,7 +60,8 @@
 }
 
 const (
-	defaultRequestTimeout = 10 * time.Second
+	// DefaultRequestTimeout is the default of Options.RequestTimeout.
+	DefaultRequestTimeout = 10 * time.Second
 	defaultWriteTimeout   = 30 * time.Second
 	defaultIdleTimeout    = 2 * time.Minute
 	// answerTimeout bounds the time that a handler takes.
@@ -74,7 +75,8 @@
 	// drain and must fit into what is left of its grace period.
 	stopTimeout = 200 * time.Millisecond
 
-	maxHeadBytes = 32 << 10
+	// MaxHeadBytes is the largest head of a request.
+	MaxHeadBytes = 32 << 10
 	maxHeaders   = 100
 	maxPipelined = 32
 	// defaultMaxConnections is the default of Options.MaxConnections.
@@ -112,7 +114,7 @@
 	s.budget = memory.NewIntake(cmp.Or(o.MemoryBytes, math.MaxInt))
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Name: o.Name, Handler: http.HandlerFunc(serve),
-		MaxHTTPBodySize: o.MaxBodyBytes, ReadLimit: o.MaxBodyBytes + maxHeadBytes,
+		MaxHTTPBodySize: o.MaxBodyBytes, ReadLimit: o.MaxBodyBytes + MaxHeadBytes,
 		MaxWriteBufferSize: o.MaxBodyBytes + frameBytes,
 		ServerExecutor:     func(f func()) { go f() },
 		NPoller:            1, // see pollerBarrier
@@ -144,7 +146,7 @@
 
 func withDefaults(o Options) Options {
 	if o.RequestTimeout == 0 {
-		o.RequestTimeout = defaultRequestTimeout
+		o.RequestTimeout = DefaultRequestTimeout
 	}
 	if o.WriteTimeout == 0 {
 		o.WriteTimeout = defaultWriteTimeout
