--- a/internal/placement/crossing.go
+++ b/internal/placement/crossing.go
@@ -24,7 +24,7 @@
 
 const (
 	// crossingWeight is the weight of the latest call in the moving averages: load shifts
-	// within some dozens of calls.
+	// within some ten calls of one entry.
 	crossingWeight = 0.1
 	// crossingHalfLife is the time after which an old share counts half where calls are rare.
 	crossingHalfLife = 2 * time.Second
