httpserver, memory: Free a request's memory before its answer, count it for entries

(1) A caller that sends its next body at once after an answer was refused, since the memory of the first was freed after the answer was sent (TestBodyMayTakeAllTheMemory). (2) baobab_body_bytes of an entry no longer counted bodies that are received, which the library's parser had counted before (TestBodiesStayWithinTheMemoryBudget).

Change: the memory is free once the handler has returned, and the parsed request with it; an intake also counts against a shared budget; callers see the reason memory for both refusals.

--- a/internal/httpserver/answer.go
+++ b/internal/httpserver/answer.go
@@ -124,10 +124,10 @@
 	c := w.(*nbhttp.Response).Parser.Conn.(*conn)
 	_, _, _ = w.(http.Hijacker).Hijack()
 	t := c.takeTurn()
-	ctx, body := c.takeArrival()
+	ctx, from := c.takeArrival()
 	own := r.WithContext(memory.WithTurn(ctx, t.before)) // the library uses r again
-	own.Body, own.ContentLength = newBodyReader(body), int64(body.Len())
-	go c.respond(own, t)
+	own.Body, own.ContentLength = newBodyReader(from.body), int64(from.body.Len())
+	go c.respond(own, t, from.receipt)
 }
 
 // bodyReader reads the body of a request.
@@ -177,12 +177,12 @@
 	return first
 }
 
-// takeArrival returns the context and the body of the oldest request that is not handled yet.
-func (c *conn) takeArrival() (context.Context, memory.RequestBody) {
+// takeArrival returns the oldest request that is not handled yet, and its context.
+func (c *conn) takeArrival() (context.Context, arrival) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.arrived) == 0 {
-		return c.calls, memory.RequestBody{}
+		return c.calls, arrival{}
 	}
 	a := c.arrived[0]
 	c.arrived = c.arrived[1:]
@@ -193,15 +193,18 @@
 	if a.took >= slowArrival {
 		ctx = context.WithValue(ctx, arrivalKey{}, a.took)
 	}
-	return ctx, a.body
+	return ctx, a
 }
 
-// respond runs the handler and sends its answer when its turn has come.
-func (c *conn) respond(r *http.Request, t turn) {
+// respond runs the handler and sends its answer when its turn has come. The request's memory
+// is free once the handler has returned, so that a caller that has its answer finds it free.
+func (c *conn) respond(r *http.Request, t turn, receipt *memory.Receipt) {
 	defer t.end()
 	a := &answer{header: make(http.Header)}
 	defer a.release()
+	method := r.Method
 	c.run(a, r)
+	receipt.Release()
 	t.wait()
 	req, ok := c.next()
 	if !ok {
@@ -209,7 +212,7 @@
 	}
 	defer c.answered()
 	last := c.endsWith(req)
-	c.send(a, r.Method, last)
+	c.send(a, method, last)
 }
 
 // turn is a place in the order of a connection's answers.
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -53,6 +53,8 @@
 	took  time.Duration // from its first byte to its last
 	first bool          // on its connection
 	body  memory.RequestBody
+	// receipt counts what the request holds.
+	receipt *memory.Receipt
 }
 
 func newConn(s *Server, nbc *nbio.Conn) *conn {
--- a/internal/httpserver/guard.go
+++ b/internal/httpserver/guard.go
@@ -177,7 +177,7 @@
 	}
 	c.stopTimer()
 	g.close = g.close || c.server.draining.Load()
-	c.arrived = append(c.arrived, arrival{took: time.Since(g.began), first: !c.begun, body: g.body})
+	c.arrived = append(c.arrived, arrival{took: time.Since(g.began), first: !c.begun, body: g.body, receipt: g.receipt})
 	c.begun = true
 	c.push(request{receipt: g.receipt, close: g.close})
 	head := g.head
@@ -217,7 +217,7 @@
 	if c.guard.ticket {
 		claim = outcome.Unknown
 	}
-	c.server.counters.refused(r.reason)
+	c.server.counters.refused(r.label())
 	if r == refuseMemory || r == refuseStalled {
 		c.reportMemory(r)
 	}
@@ -254,7 +254,7 @@
 // reportMemory logs a request that is refused for want of memory.
 func (c *conn) reportMemory(r *refusal) {
 	g := &c.guard
-	log.With("listener", c.server.options.Name).With("reason", r.reason).With("id", headerValue(g.head, c.server.options.IDHeader)).
+	log.With("listener", c.server.options.Name).With("reason", r.label()).With("id", headerValue(g.head, c.server.options.IDHeader)).
 		With("body_bytes", g.body.Len()).With("took", time.Since(g.began).Round(time.Millisecond)).With("used_bytes", c.server.budget.Used()).
 		Infof("request refused: the memory for requests is used up")
 }
--- a/internal/httpserver/head.go
+++ b/internal/httpserver/head.go
@@ -15,6 +15,15 @@
 	reason string
 }
 
+// label returns the reason in metrics and logs, which tell two reasons apart that are the same
+// to callers.
+func (r *refusal) label() string {
+	if r == refuseStalled {
+		return "memory-stalled"
+	}
+	return r.reason
+}
+
 // framing is what a request's head says about the bytes that follow it.
 type framing struct {
 	// length is the Content-Length; 0 without one.
@@ -54,7 +63,7 @@
 	refuseStopping  = &refusal{http.StatusServiceUnavailable, "stopping"} // another listener can take it at once
 	refuseMemory    = &refusal{http.StatusServiceUnavailable, "memory"}
 	// refuseStalled makes room for a request that makes more progress.
-	refuseStalled = &refusal{http.StatusServiceUnavailable, "memory-stalled"}
+	refuseStalled = &refusal{http.StatusServiceUnavailable, "memory"}
 	// refuseCrowded makes room for another connection.
 	refuseCrowded = &refusal{http.StatusServiceUnavailable, "connections-full"}
 )
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -35,6 +35,8 @@
 	// MemoryBytes bounds what the requests of all connections hold, an eighth more for small
 	// ones; 0 sets no bound. A request with the largest body needs MaxHeadMemory beside it.
 	MemoryBytes int
+	// SharedMemory also counts what requests hold, beside what others count; nil for none.
+	SharedMemory *memory.Budget
 	// MaxConnections bounds the open connections. At the bound, a new one takes the place of
 	// one whose caller is silent. The default is 32,768.
 	MaxConnections int
@@ -111,7 +113,7 @@
 // Start listens and serves until Stop.
 func Start(o Options) (*Server, error) {
 	s := &Server{options: withDefaults(o), counters: newCounters(o.Name)}
-	s.budget = memory.NewIntake(cmp.Or(o.MemoryBytes, math.MaxInt))
+	s.budget = memory.NewIntake(cmp.Or(o.MemoryBytes, math.MaxInt), o.SharedMemory)
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Name: o.Name, Handler: http.HandlerFunc(serve),
 		MaxHTTPBodySize: o.MaxBodyBytes, ReadLimit: o.MaxBodyBytes + MaxHeadBytes,
--- a/internal/memory/intake.go
+++ b/internal/memory/intake.go
@@ -28,6 +28,7 @@
 // that stop short lose to all others. It is safe for concurrent use.
 type Intake struct {
 	limit, smallLimit int
+	shared            *Budget // counts the same bytes; nil for none
 
 	mu        sync.Mutex
 	used      int
@@ -36,13 +37,14 @@
 	receiving map[*Receipt]struct{} // that hold bytes and are not whole
 }
 
-// NewIntake returns an intake with a limit in bytes.
-func NewIntake(limit int) *Intake {
+// NewIntake returns an intake with a limit in bytes. Its bytes also count against a shared
+// budget, if that is not nil.
+func NewIntake(limit int, shared *Budget) *Intake {
 	small := limit
 	if limit < math.MaxInt/2 {
 		small += int(smallShare * float64(limit))
 	}
-	return &Intake{limit: limit, smallLimit: small, receiving: make(map[*Receipt]struct{})}
+	return &Intake{limit: limit, smallLimit: small, shared: shared, receiving: make(map[*Receipt]struct{})}
 }
 
 // Used returns the number of bytes counted.
@@ -155,6 +157,9 @@
 func (in *Intake) count(n int) {
 	in.used += n
 	in.peak = max(in.peak, in.used)
+	if in.shared != nil {
+		in.shared.Add(n)
+	}
 }
 
 // progressAt returns the progress of the request as of now.
--- a/internal/supervisor/callers/service.go
+++ b/internal/supervisor/callers/service.go
@@ -30,7 +30,7 @@
 	return &Service{
 		options: httpserver.Options{
 			Name: "callers", Address: s.Address, Handler: h,
-			MaxBodyBytes: s.MaxBodyBytes, MemoryBytes: s.MemoryBytes + httpserver.MaxHeadMemory,
+			MaxBodyBytes: s.MaxBodyBytes, MemoryBytes: s.MemoryBytes + httpserver.MaxHeadMemory, SharedMemory: h.memory.budget,
 			RequestTimeout: s.RequestTimeout.Duration, WriteTimeout: s.WriteTimeout.Duration, IdleTimeout: s.IdleTimeout.Duration,
 			TLS: config,
 		},
