--- a/internal/httpserver/crowd_test.go
+++ b/internal/httpserver/crowd_test.go
@@ -99,3 +99,18 @@
 		assert.Equal(t, body, fmt.Sprint(size))
 	}
 }
+
+// Guards against first attempts on kept connections that are taken for possible retries.
+func TestFirstRequestOnAConnectionIsTold(t *testing.T) {
+	s := startTest(t, Options{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, FirstOnConnection(r.Context())) })})
+	for range 2 {
+		c := dialTest(t, s)
+		reader := bufio.NewReader(c)
+		for _, want := range []string{"true", "false", "false"} {
+			_, err := io.WriteString(c, "GET /a HTTP/1.1\r\nHost: a\r\n\r\n")
+			assert.NilError(t, err)
+			_, body := readAnswer(t, reader, http.MethodGet)
+			assert.Equal(t, body, want)
+		}
+	}
+}
