review: Heads of many short lines use up the memory of a gateway

Cause: a gateway counts 128 KiB for an answer's head of up to 64 KiB; a head of 11,000 short lines takes about ten times that.

--- a/review/standin2/foreign.go
+++ b/review/standin2/foreign.go
@@ -25,12 +25,15 @@
 	return nil
 }
 
+// bookingDeadlineMs is the deadline of bookings where a case sets no other.
+const bookingDeadlineMs = 1500
+
 // tally counts the answers to ordinary callers.
 type tally struct{ sent, served, refused, unanswered atomic.Int64 }
 
 // callOrdinary sends a booking to a gateway at intervals until the function that it returns is
 // called.
-func callOrdinary(w *world, gw *gateway, t *tally, interval time.Duration) (stop func()) {
+func callOrdinary(w *world, gw *gateway, t *tally, interval time.Duration, deadlineMs int) (stop func()) {
 	done := make(chan struct{})
 	var g sync.WaitGroup
 	g.Add(1)
@@ -46,7 +49,7 @@
 			go func() {
 				defer g.Done()
 				id := newAttempt()
-				status, _, err := call(gw.callers, http.MethodPost, "box.example", "/book/1", id, 1500)
+				status, _, err := call(gw.callers, http.MethodPost, "box.example", "/book/1", id, deadlineMs)
 				w.rec.line("%s answers booking %s: %d %s", gw.id, id, status, errText(err))
 				t.sent.Add(1)
 				switch {
@@ -102,7 +105,7 @@
 	defer stop()
 	var t tally
 	for _, gw := range w.gateways {
-		defer callOrdinary(w, gw, &t, 200*time.Millisecond)()
+		defer callOrdinary(w, gw, &t, 200*time.Millisecond, bookingDeadlineMs)()
 	}
 	end := time.Now().Add(watchFor)
 	for i := range entries {
@@ -175,7 +178,7 @@
 			defer g.Done()
 			for end := time.Now().Add(askFor); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
 				id, sent := newAttempt(), time.Since(acked)
-				status, h, err := call(gw.callers, http.MethodPost, "box.example", "/book/1", id, 1500)
+				status, h, err := call(gw.callers, http.MethodPost, "box.example", "/book/1", id, bookingDeadlineMs)
 				service := "none"
 				if h != nil && h.Get("Server-Signature") != "" {
 					service = serviceOf(h.Get("Server-Signature"))
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -18,7 +18,7 @@
 )
 
 var cases = map[string]func(w *world, trouble bool) (int, error){
-	"foreign-memory": foreignMemory, "pipeline": pipeline, "foreign-watch": foreignWatch, "trickle": trickle,
+	"foreign-memory": foreignMemory, "pipeline": pipeline, "foreign-watch": foreignWatch, "endless-head": endlessHead,
 }
 
 func main() {
--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -207,8 +207,6 @@
 	quiet                      bool // no lines in the record
 	seq                        int
 	store                      *store
-	stop                       chan struct{}
-	listener                   net.Listener
 	body                       int
 }
 
@@ -217,23 +215,22 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &server{id: id, service: service, zone: zone, address: l.Addr().String(), slots: slots, queue: 4 * slots, room: make(chan struct{}, slots), rec: rec, store: st, stop: make(chan struct{}), listener: l, body: 400}
+	s := &server{id: id, service: service, zone: zone, address: l.Addr().String(), slots: slots, queue: 4 * slots, room: make(chan struct{}, slots), rec: rec, store: st, body: 400}
 	s.work.Store(int64(work))
 	go func() { _ = (&http.Server{Handler: s, IdleTimeout: 10 * time.Second}).Serve(l) }()
-	s.beat("ready")
-	go func() {
-		for {
-			select {
-			case <-time.After(1500 * time.Millisecond):
-				s.beat("ready")
-			case <-s.stop:
-				return
-			}
-		}
-	}()
+	go s.keepListed()
 	return s, nil
 }
 
+// keepListed writes the server's entry at each heartbeat.
+func (s *server) keepListed() {
+	for ; ; time.Sleep(heartbeat) {
+		s.beat("ready")
+	}
+}
+
+const heartbeat = 1500 * time.Millisecond
+
 func (s *server) beat(state string) {
 	s.seq++
 	s.store.put("servers/"+s.id, []byte(fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":%q,"warmup_left":"0ms","sequence":%d,"born":%d}`, s.service, s.address, s.zone, s.slots, state, s.seq, s.rec.start.UnixMilli())))
@@ -388,6 +385,8 @@
 	ablGw = site{memoryMB: 284, linkMbps: 1000, configApply: 2 * time.Second, retrySlack: 62, probesPerS: 60}
 	// ablGwGrown is that of grown/abl-gw-grown.toml, with its smallest machines.
 	ablGwGrown = site{memoryMB: 184, linkMbps: 200, configApply: 2500 * time.Millisecond, retrySlack: 194, probesPerS: 42}
+	// ablGwLarge is that of large/abl-gw-large.toml, with its smallest machines.
+	ablGwLarge = site{memoryMB: 184, linkMbps: 20, configApply: 3 * time.Second, retrySlack: 630, probesPerS: 60}
 )
 
 // startGateways starts one gateway for each zone, with the commands of the deploy file.
@@ -427,7 +426,7 @@
 	if err != nil {
 		return err
 	}
-	bound := g.site.configApply.Milliseconds() // config_apply and drain are the same at both sites
+	bound := g.site.configApply.Milliseconds() // config_apply and drain are the same at each of the sites
 	g.cmd = exec.Command("target/baobabstack", "gateway", fmt.Sprintf("--configuration-bound=%dms", bound), fmt.Sprintf("--leaving-bound=%dms", bound))
 	g.cmd.Env = []string{"BAOBABSTACK_BOOT=" + g.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
 	g.cmd.Stdout, g.cmd.Stderr = log, log
@@ -620,8 +619,10 @@
 	for _, s := range services {
 		ss = append(ss, map[string]any{"name": s, "health_path": "/health", "max_connections": 260, "protocol": "h1", "tls": false})
 	}
-	b, _ := json.Marshal(map[string]any{"version": fmt.Sprintf("%08x", version), "routes": rs, "services": ss,
-		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout": "3000ms", "idle_timeout": "15000ms"}})
+	b, _ := json.Marshal(map[string]any{
+		"version": fmt.Sprintf("%08x", version), "routes": rs, "services": ss,
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout": "3000ms", "idle_timeout": "15000ms"},
+	})
 	return b
 }
 
