httpwire, upstream, servers: Reject answers without a valid status

Callers: a server that answers 000 left them waiting until their timeout (504 after 8 s of 8 s at a gateway, 504 after 5 s at an entry). A status of 600 or more, or another version of HTTP, was passed on, or believed when it said "not run" (503 for a booking that ran).

Cause: net/http takes any three characters that strconv.Atoi accepts for a status, "000" and "+99" too, and both request paths take everything below 200 for an interim answer: they read on for the final one. What the heads said (leaving, a pause) was believed.

Change: httpwire.Reader checks the bytes of each answer before net/http parses them, for now the status line: HTTP/1.x, three digits from 100 to 599, no control byte. The first byte that breaks the protocol fails the answer, without waiting for the rest; both paths close the connection and take the outcome for unknown, as with any answer that can't be read.

--- a/internal/supervisor/servers/conn.go
+++ b/internal/supervisor/servers/conn.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/baobabstack/baobabstack/internal/defect"
+	"github.com/baobabstack/baobabstack/internal/httpwire"
 	"github.com/baobabstack/baobabstack/internal/memory"
 )
 
@@ -20,8 +21,9 @@
 // they are detected; nbhttp's client would give them to the next call.
 type conn struct {
 	tcp     *net.TCPConn
-	limited *io.LimitedReader // limits the bytes read for one call
-	reader  *bufio.Reader
+	checked *httpwire.Reader
+	limited *io.LimitedReader // reads from checked, limits the bytes read for one call
+	reader  *bufio.Reader     // reads from limited
 	limits  *responseLimits
 	opened  time.Time
 	// lastUsed is when the connection last carried an answer, or was opened.
@@ -77,9 +79,10 @@
 		_ = opened.Close()
 		return nil, errors.WithStack(errNotTCP)
 	}
-	limited := &io.LimitedReader{R: raw}
+	checked := httpwire.NewReader(raw)
+	limited := &io.LimitedReader{R: checked}
 	now := time.Now()
-	return &conn{tcp: raw, limited: limited, reader: bufio.NewReader(limited), limits: limits, opened: now, lastUsed: now}, nil
+	return &conn{tcp: raw, checked: checked, limited: limited, reader: bufio.NewReader(limited), limits: limits, opened: now, lastUsed: now}, nil
 }
 
 // usable reports whether the connection may carry a call: the server has neither
@@ -139,7 +142,7 @@
 // read returns the response and whether the server keeps the connection open.
 func (c *conn) read(req *http.Request) (response, bool) {
 	for range maxInterimResponses {
-		res, err := http.ReadResponse(c.reader, req)
+		res, err := c.checked.ReadResponse(c.reader, req)
 		if err != nil {
 			return response{err: errors.Wrap(err, "read the answer")}, false
 		}
--- /dev/null
+++ b/internal/supervisor/servers/malformed_test.go
@@ -0,0 +1,105 @@
+package servers
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/baobabstack/baobabstack/internal/clock"
+	"github.com/baobabstack/baobabstack/internal/httpwire"
+	"github.com/baobabstack/baobabstack/internal/policy/outcome"
+)
+
+// malformedCase is an answer that breaks the protocol.
+type malformedCase struct {
+	name, answer string
+	// closes says that the server closes the connection behind the answer.
+	closes bool
+}
+
+// told is what a server says in the head of a malformed answer. None of it may be believed.
+const told = "Baobab-Not-Started: true\r\nBaobab-State: leaving\r\nBaobab-Load: 7\r\n"
+
+// malformedDeadline is the deadline of calls whose answers are malformed; they end long before it.
+const malformedDeadline = 4 * time.Second
+
+// answering starts a server that gives one answer to all requests and returns its address.
+func answering(t *testing.T, answer string, closes bool) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				for reader := bufio.NewReader(c); ; {
+					req, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, req.Body)
+					_, _ = io.WriteString(c, answer)
+					if closes {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func testMalformed(t *testing.T, cases []malformedCase) {
+	t.Helper()
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := testServer(t, answering(t, c.answer, c.closes))
+			begin := time.Now()
+			clk := clock.Boot{}
+			r := s.Do(t.Context(), clk, bookingOf("order", clk.Now()+malformedDeadline))
+			assert.Equal(t, r.Outcome, outcome.Unknown)
+			assert.Assert(t, !r.Rejected)
+			checkMalformed(t, s, begin, r.Err)
+			checkMalformed(t, s, time.Now(), s.Probe(t.Context()))
+		})
+	}
+}
+
+func checkMalformed(t *testing.T, s *Server, begin time.Time, err error) {
+	t.Helper()
+	assert.Assert(t, httpwire.IsMalformed(err), "%v", err)
+	assert.Assert(t, time.Since(begin) < malformedDeadline/2, "%s", time.Since(begin))
+	s.pool.mu.Lock()
+	assert.Equal(t, len(s.pool.idle), 0, "the connection is still used")
+	s.pool.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	assert.Assert(t, !s.state.Leaving(), "the server's state was believed")
+	_, reported := s.state.ReportAge(s.clock.Now())
+	assert.Assert(t, !reported, "the server's load was believed")
+}
+
+// Guards against a status that is none and is taken for that of an interim answer, or passed on.
+func TestAnswerWithoutAValidStatusIsMalformed(t *testing.T) {
+	const end = told + "Content-Length: 0\r\n\r\n"
+	testMalformed(t, []malformedCase{
+		{"status 000", "HTTP/1.1 000 X\r\n" + end, false},
+		{"status 099", "HTTP/1.1 099 X\r\n" + end, false},
+		{"status 600", "HTTP/1.1 600 X\r\n" + end, false},
+		{"status with a sign", "HTTP/1.1 +99 X\r\n" + end, false},
+		{"status 000 as an interim answer", "HTTP/1.1 000 X\r\n\r\nHTTP/1.1 200 OK\r\n" + end, false},
+		{"status 000 behind an interim answer", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 X\r\n" + end, false},
+		{"control byte in the reason", "HTTP/1.1 200 O\x00K\r\n" + end, false},
+		{"another version", "HTTP/3.0 200 OK\r\n" + end, false},
+	})
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/baobabstack/baobabstack/internal/defect"
+	"github.com/baobabstack/baobabstack/internal/httpwire"
 	"github.com/baobabstack/baobabstack/internal/memory"
 )
 
@@ -50,8 +51,9 @@
 // conn is one connection to a server. It carries one call at a time.
 type conn struct {
 	raw     net.Conn
-	limited limitedReader
-	reader  *bufio.Reader
+	checked *httpwire.Reader
+	limited limitedReader // reads from checked
+	reader  *bufio.Reader // reads from limited
 	probe   [1]byte
 	// usedAt is when the last answer was read, or the connection was opened.
 	usedAt time.Time
@@ -74,8 +76,8 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to %s", address)
 	}
-	c := &conn{raw: raw, fresh: true, usedAt: time.Now()}
-	c.limited.raw = raw
+	c := &conn{raw: raw, checked: httpwire.NewReader(raw), fresh: true, usedAt: time.Now()}
+	c.limited.raw = c.checked
 	c.reader = bufio.NewReaderSize(&c.limited, readBufferBytes)
 	return c, nil
 }
@@ -198,10 +200,10 @@
 	body := limits.memory.NewBody()
 	c.limited.left = maxHeadBytes
 	c.limited.beyondBuffer = func() error { return c.holdLargeHead(ctx, body) }
-	res, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	res, err := c.checked.ReadResponse(c.reader, &http.Request{Method: method})
 	c.limited.beyondBuffer = nil
 	if err != nil {
-		if c.limited.left <= 0 {
+		if c.limited.left <= 0 && !httpwire.IsMalformed(err) {
 			err = errHeadTooLarge
 		}
 		return response{body: body}, errors.Wrap(err, "read the answer")
