httpwire, upstream, servers: Reject answers with a malformed field

Callers: an answer in whose head a name held a blank was passed on as a 200 without that line. Where the line was the Content-Length or the Transfer-Encoding, a body that the server had broken off came as a whole 200, and with LF before the name the rest of the head came as the body. At an entry such an answer was also believed when it said that the call had not run. At a gateway "leaving" and the pause in such a head were believed: the servers got no more work (503).

Cause: net/http keeps names with blanks under a name that nobody looks up, joins a line that begins with a blank to the one before it, and takes LF alone for the end of a line.

Change: the check of an answer's bytes goes on to the end of the head. Names are tokens, values hold no control bytes, lines end with CRLF and none begins with a blank. RFC 9112, section 5.2, lets a gateway reject folded lines, which can't be told from a name with a blank before it. The table of token bytes moves from httpserver, which checks requests with it.

--- a/internal/httpserver/head.go
+++ b/internal/httpserver/head.go
@@ -7,6 +7,7 @@
 
 	"github.com/baobabstack/baobabstack/internal/call"
 	"github.com/baobabstack/baobabstack/internal/defect"
+	"github.com/baobabstack/baobabstack/internal/httpwire"
 )
 
 // refusal is the answer to a request that is not accepted.
@@ -117,7 +118,7 @@
 	if !ok {
 		return refuseLine
 	}
-	if !isToken(method) {
+	if !httpwire.IsToken(method) {
 		return refuseLine
 	}
 	if !knownMethod(method) {
@@ -168,7 +169,7 @@
 	if defect.On("guard-header") {
 		return nil
 	}
-	if !ok || !isToken(name) {
+	if !ok || !httpwire.IsToken(name) {
 		return refuseHeader
 	}
 	for _, b := range value {
@@ -289,26 +290,3 @@
 func hasPrefixFold(name []byte, prefix string) bool {
 	return len(name) >= len(prefix) && is(name[:len(prefix)], prefix)
 }
-
-// isToken reports whether b is a token of RFC 9110, section 5.6.2.
-func isToken(b []byte) bool {
-	for _, c := range b {
-		if !tokenBytes[c] {
-			return false
-		}
-	}
-	return len(b) > 0
-}
-
-var tokenBytes = func() (set [256]bool) {
-	for c := '0'; c <= '9'; c++ {
-		set[c] = true
-	}
-	for c := 'a'; c <= 'z'; c++ {
-		set[c], set[c-'a'+'A'] = true, true
-	}
-	for _, c := range "!#$%&'*+-.^_`|~" {
-		set[c] = true
-	}
-	return set
-}()
--- a/internal/httpwire/checker.go
+++ b/internal/httpwire/checker.go
@@ -29,14 +29,14 @@
 // state checks one byte and returns the next state; nil ends the check.
 type state func(c *checker, b byte) (state, *MalformedError)
 
-// checker checks the bytes of one response as they arrive, up to the end of its status line.
+// checker checks the bytes of one response as they arrive, up to the end of its head.
 type checker struct {
 	begun bool
 	next  state
-	// line is the start of the current line, and count the number of bytes of the part that
-	// is being checked.
+	// line is the start of the current line, and length its length.
 	line   [maxQuoted]byte
 	length int
+	// count is the number of bytes of the part of the line that is being checked.
 	count  int
 	status int
 }
@@ -117,6 +117,8 @@
 	}
 }
 
+// reason checks the reason in the status line.
+
 func (c *checker) reason(b byte) (state, *MalformedError) {
 	switch {
 	case b == '\r':
@@ -128,8 +130,54 @@
 	}
 }
 
-// lineFeed ends a line.
+// lineFeed ends a line of the head. RFC 9112 also allows to read LF alone as its end, but then a
+// name that begins with LF ends the head.
 func (c *checker) lineFeed(b byte) (state, *MalformedError) {
+	if b != '\n' {
+		return c.fail("CR without LF")
+	}
+	c.length, c.count = 0, 0
+	return (*checker).fieldStart, nil
+}
+
+// fieldStart checks the first byte of a field line, or of the empty line that ends the head. RFC
+// 9112 lets a gateway reject folded lines. One that is not meant as such is a field whose name
+// begins with a blank.
+func (c *checker) fieldStart(b byte) (state, *MalformedError) {
+	switch b {
+	case '\r':
+		return (*checker).headEnd, nil
+	case ' ', '\t':
+		return c.fail("blank at the start of a field line")
+	default:
+		return c.fieldName(b)
+	}
+}
+
+func (c *checker) fieldName(b byte) (state, *MalformedError) {
+	switch {
+	case b == ':' && c.count > 0:
+		return (*checker).fieldValue, nil
+	case isTokenByte(b):
+		c.count++
+		return (*checker).fieldName, nil
+	default:
+		return c.fail("the name of a field is no token")
+	}
+}
+
+func (c *checker) fieldValue(b byte) (state, *MalformedError) {
+	switch {
+	case b == '\r':
+		return (*checker).lineFeed, nil
+	case isControl(b):
+		return c.fail("control byte in the value of a field")
+	default:
+		return (*checker).fieldValue, nil
+	}
+}
+
+func (c *checker) headEnd(b byte) (state, *MalformedError) {
 	if b != '\n' {
 		return c.fail("CR without LF")
 	}
--- a/internal/supervisor/servers/malformed_test.go
+++ b/internal/supervisor/servers/malformed_test.go
@@ -103,3 +103,19 @@
 		{"another version", "HTTP/3.0 200 OK\r\n" + end, false},
 	})
 }
+
+// Guards against lines that are dropped from an answer's head, or read as something else.
+func TestAnswerWithAMalformedFieldIsMalformed(t *testing.T) {
+	const start, end = "HTTP/1.1 200 OK\r\n" + told, "Content-Length: 5\r\n\r\nhello"
+	testMalformed(t, []malformedCase{
+		{"blank before the colon", start + "X : y\r\n" + end, false},
+		{"blank within a name", start + "X Y: z\r\n" + end, false},
+		{"blank before the colon, unfinished head", start + "X :", false},
+		{"second length with a blank", start + "Content-Length : 50\r\n" + end, true},
+		{"blank before a line", start + "X: y\r\n Y: z\r\n" + end, false},
+		{"LF before a line", start + "\nX: y\r\n" + end, false},
+		{"NUL in a name", start + "X\x00: y\r\n" + end, false},
+		{"line that ends with LF alone", start + "X: y\n" + end, false},
+		{"blank in a name of an interim answer", "HTTP/1.1 103 X\r\nLink : y\r\n\r\n" + start + end, false},
+	})
+}
--- a/internal/upstream/malformed_test.go
+++ b/internal/upstream/malformed_test.go
@@ -93,3 +93,73 @@
 	testMalformed(t, malformedStatus)
 	testMalformedChecks(t, malformedStatus)
 }
+
+// Guards against lines that are dropped from an answer's head, or read as something else. If such
+// a line frames the body, another body takes its place, or one that the server has broken off.
+func TestAnswerWithAMalformedFieldIsMalformed(t *testing.T) {
+	const start, end, cut = "HTTP/1.1 200 OK\r\n" + told, "Content-Length: 5\r\n\r\nhello", "\r\n\r\nhel"
+	cases := []malformedCase{
+		{"blank before the colon", start + "X : y\r\n" + end, false},
+		{"blank within a name", start + "X Y: z\r\n" + end, false},
+		{"blank before the colon, unfinished head", start + "X :", false},
+		{"blank behind Content-Length, body cut", start + "Content-Length : 50" + cut, true},
+		{"blank within Content-Length, body cut", start + "Content Length: 50" + cut, true},
+		{"blank before Content-Length, body cut", start + " Content-Length: 50" + cut, true},
+		{"blank before Content-Length in the first line", "HTTP/1.1 200 OK\r\n Content-Length: 50\r\n" + told + cut, true},
+		{"tab before Content-Length, body cut", start + "\tContent-Length: 50" + cut, true},
+		{"LF before Content-Length, body cut", start + "\nContent-Length: 50" + cut, true},
+		{"blank behind Transfer-Encoding, chunk cut", start + "Transfer-Encoding : chunked\r\n\r\n50\r\nhel", true},
+		{"NUL in a name", start + "X\x00: y\r\n" + end, false},
+		{"control byte in a name", start + "X\x01Y: z\r\n" + end, false},
+		{"tab in a name", start + "X\t: y\r\n" + end, false},
+		{"CR in a name", start + "X\rY: z\r\n" + end, false},
+		{"LF in a name", start + "X\nY: z\r\n" + end, false},
+		{"DEL in a name", start + "X\x7f: y\r\n" + end, false},
+		{"byte above ASCII in a name", start + "X\xe9: y\r\n" + end, false},
+		{"separator in a name", start + "X(y): z\r\n" + end, false},
+		{"empty name", start + ": y\r\n" + end, false},
+		{"no colon", start + "X\r\n" + end, false},
+		{"folded value", start + "X: y\r\n z\r\n" + end, false},
+		{"line that ends with LF alone", start + "X: y\n" + end, false},
+		{"status line that ends with LF alone", "HTTP/1.1 200 OK\n" + told + end, false},
+		{"head that ends with LF alone", "HTTP/1.1 200 OK\r\n" + told + "Content-Length: 5\r\n\nhello", false},
+		{"NUL in a value", start + "X: y\x00\r\n" + end, false},
+		{"CR in a value", start + "X: y\rz\r\n" + end, false},
+		{"blank in a name of an interim answer", "HTTP/1.1 103 X\r\nLink : y\r\n\r\n" + start + end, false},
+		{"blank in a name behind an interim answer", "HTTP/1.1 103 X\r\nLink: y\r\n\r\n" + start + "X : y\r\n" + end, false},
+		{"blank in a name behind an answer to another call", answerTo("c0", "x") + start + "X : y\r\n" + end, false},
+		{"blank in a name of an answer to another call", strings.Replace(answerTo("c0", "x"), "\r\n", "\r\nX : y\r\n", 1) + start + end, false},
+	}
+	testMalformed(t, cases)
+	testMalformedChecks(t, cases)
+}
+
+// Guards against checks that reject what the protocol allows.
+func TestUnusualAnswersAreAnswers(t *testing.T) {
+	const start, end = "HTTP/1.1 200 OK\r\nCall-Id: c1\r\nSigned: y\r\n", "Content-Length: 5\r\n\r\nhello"
+	for name, answer := range map[string]string{
+		"no reason":                 "HTTP/1.1 200\r\nCall-Id: c1\r\nSigned: y\r\n" + end,
+		"empty reason":              "HTTP/1.1 200 \r\nCall-Id: c1\r\nSigned: y\r\n" + end,
+		"bytes above ASCII":         "HTTP/1.1 200 \xc3\xa9\r\nCall-Id: c1\r\nSigned: y\r\nX: \xe9\ta\r\n" + end,
+		"no blank behind the colon": start + "X:y\r\n" + end,
+		"blanks around a value":     start + "X: \t y \t\r\n" + end,
+		"empty value":               start + "X:\r\n" + end,
+		"all bytes of a token":      start + "!#$%&'*+-.^_`|~09azAZ: y\r\n" + end,
+		"the length twice":          start + "Content-Length: 5\r\n" + end,
+		"interim answers":           "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 X\r\nLink: y\r\n\r\n" + start + end,
+		"lowest version":            strings.Replace(start, "1.1", "1.0", 1) + end,
+		"length of another call's":  answerTo("c0", "x") + start + end,
+		"chunks, extension, trailer": start + "Trailer: X\r\nTransfer-Encoding: chunked\r\n\r\n" +
+			"3;a=\"b c\"\r\nhel\r\n002\r\nlo\r\n0\r\nX: y\r\nLast:\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, server := startFakeServer(t, func(int, int) (string, bool) { return answer, false })
+			lease, err := server.Open(context.Background(), time.Second, time.Minute)
+			assert.NilError(t, err)
+			r := lease.Send(context.Background(), newCall())
+			assert.Equal(t, r.Outcome, Answered, "%v", r.Err)
+			chunk, _ := r.Body.Pop()
+			assert.Equal(t, string(chunk.Data), "hello")
+		})
+	}
+}
--- a/proof/malformed_test.go
+++ b/proof/malformed_test.go
@@ -166,3 +166,20 @@
 		})
 	}
 }
+
+var malformedFields = []malformedAnswer{
+	{"blank before the colon", "HTTP/1.1 200 OK\r\nHEADX : y\r\nContent-Length: 5\r\n\r\nhello", false},
+	{"blank behind Content-Length, body cut", "HTTP/1.1 200 OK\r\nHEADContent-Length : 50\r\n\r\nhello", true},
+	{"blank before Content-Length, body cut", "HTTP/1.1 200 OK\r\nHEAD Content-Length: 50\r\n\r\nhello", true},
+	{"LF before Content-Length, body cut", "HTTP/1.1 200 OK\r\nHEAD\nContent-Length: 50\r\n\r\nhello", true},
+	{"control byte in a name", "HTTP/1.1 200 OK\r\nHEADX\x01: y\r\nContent-Length: 5\r\n\r\nhello", false},
+	{"blank in a name of an interim answer", "HTTP/1.1 103 X\r\nLink : y\r\n\r\nHTTP/1.1 200 OK\r\nHEADContent-Length: 5\r\n\r\nhello", false},
+}
+
+func TestGatewaysPassOnNoAnswerWithAMalformedField(t *testing.T) {
+	testGatewaysWithMalformedAnswers(t, malformedFields)
+}
+
+func TestEntriesPassOnNoAnswerWithAMalformedField(t *testing.T) {
+	testEntriesWithMalformedAnswers(t, malformedFields)
+}
