httpwire: Reject answers with malformed trailers or chunks

Callers: an answer with a blank in the name of a trailer, a folded trailer, a trailer that ended with LF alone or a control byte behind the size of a chunk was passed on as whole, and its connection was used again. A trailer line that began like this and did not end left the caller waiting until the deadline.

Cause: the same as for heads: net/http reads trailers with the same parser, and skips what follows the size of a chunk.

Change: the check goes on through the framing of the chunks to the end of the trailers.

--- a/internal/httpwire/checker.go
+++ b/internal/httpwire/checker.go
@@ -1,9 +1,12 @@
 // Package httpwire reads HTTP/1.1 responses. It checks their bytes before net/http parses them,
-// because net/http accepts heads that break RFC 9110 and RFC 9112.
+// because net/http accepts responses that break RFC 9110 and RFC 9112.
 package httpwire
 
 import (
+	"bytes"
 	"fmt"
+	"net/http"
+	"strings"
 
 	"github.com/pkg/errors"
 )
@@ -29,16 +32,23 @@
 // state checks one byte and returns the next state; nil ends the check.
 type state func(c *checker, b byte) (state, *MalformedError)
 
-// checker checks the bytes of one response as they arrive, up to the end of its head.
+// checker checks the bytes of one response as they arrive: its head, and the chunks and trailers
+// of its body.
 type checker struct {
-	begun bool
-	next  state
+	// method is the method of the request.
+	method string
+	begun  bool
+	next   state
 	// line is the start of the current line, and length its length.
 	line   [maxQuoted]byte
 	length int
 	// count is the number of bytes of the part of the line that is being checked.
 	count  int
 	status int
+	// chunked says that the body comes in chunks, and trailers that its last chunk has ended.
+	chunked, trailers bool
+	// chunkSize is the size of the current chunk, and chunkLeft what is left of its data.
+	chunkSize, chunkLeft uint64
 }
 
 // check checks the next bytes of the response. It returns the number of bytes before the first
@@ -47,22 +57,29 @@
 	if !c.begun {
 		c.begun, c.next = true, (*checker).version
 	}
-	for i, b := range data {
-		if c.next == nil {
-			return len(data), nil
+	for i := 0; i < len(data) && c.next != nil; {
+		if c.chunkLeft > 0 {
+			n := min(c.chunkLeft, uint64(len(data)-i))
+			c.chunkLeft -= n
+			i += int(n) //nolint:gosec // at most len(data)
+			continue
 		}
 		if c.length < len(c.line) {
-			c.line[c.length] = b
+			c.line[c.length] = data[i]
 			c.length++
 		}
-		if c.next, malformed = c.next(c, b); malformed != nil {
+		if c.next, malformed = c.next(c, data[i]); malformed != nil {
 			return i, malformed
 		}
+		i++
 	}
 	return len(data), nil
 }
 
-// fail returns an error that quotes the line up to the violation.
+// beginLine begins a line of the head, of the framing of a chunk or of the trailers.
+func (c *checker) beginLine() { c.length, c.count = 0, 0 }
+
+// fail returns an error that quotes the start of the line, up to the violation at most.
 func (c *checker) fail(reason string) (state, *MalformedError) {
 	return nil, &MalformedError{Reason: fmt.Sprintf("%s: %q", reason, c.line[:c.length])}
 }
@@ -130,23 +147,23 @@
 	}
 }
 
-// lineFeed ends a line of the head. RFC 9112 also allows to read LF alone as its end, but then a
+// lineFeed ends a line of the head or of the trailers. RFC 9112 also allows to read LF alone as its end, but then a
 // name that begins with LF ends the head.
 func (c *checker) lineFeed(b byte) (state, *MalformedError) {
 	if b != '\n' {
 		return c.fail("CR without LF")
 	}
-	c.length, c.count = 0, 0
+	c.beginLine()
 	return (*checker).fieldStart, nil
 }
 
-// fieldStart checks the first byte of a field line, or of the empty line that ends the head. RFC
+// fieldStart checks the first byte of a field line, or of the empty line behind the fields. RFC
 // 9112 lets a gateway reject folded lines. One that is not meant as such is a field whose name
 // begins with a blank.
 func (c *checker) fieldStart(b byte) (state, *MalformedError) {
 	switch b {
 	case '\r':
-		return (*checker).headEnd, nil
+		return (*checker).fieldsEnd, nil
 	case ' ', '\t':
 		return c.fail("blank at the start of a field line")
 	default:
@@ -157,6 +174,7 @@
 func (c *checker) fieldName(b byte) (state, *MalformedError) {
 	switch {
 	case b == ':' && c.count > 0:
+		c.noteField(c.line[:c.length-1])
 		return (*checker).fieldValue, nil
 	case isTokenByte(b):
 		c.count++
@@ -177,11 +195,84 @@
 	}
 }
 
-func (c *checker) headEnd(b byte) (state, *MalformedError) {
+// noteField notes whether a field frames the body. The parser accepts no other transfer coding
+// than chunks.
+func (c *checker) noteField(name []byte) {
+	if !c.trailers && bytes.EqualFold(name, []byte("Transfer-Encoding")) {
+		c.chunked = true
+	}
+}
+
+// fieldsEnd ends the head or the trailers.
+func (c *checker) fieldsEnd(b byte) (state, *MalformedError) {
+	switch {
+	case b != '\n':
+		return c.fail("CR without LF")
+	case c.trailers, !c.chunked, !c.hasBody():
+		return nil, nil
+	default:
+		c.beginLine()
+		return (*checker).chunkHead, nil
+	}
+}
+
+// hasBody reports whether the head's fields frame a body (RFC 9112, section 6.3).
+func (c *checker) hasBody() bool {
+	return c.method != http.MethodHead && c.status >= http.StatusOK && c.status != http.StatusNoContent && c.status != http.StatusNotModified
+}
+
+// chunkHead checks the size of a chunk.
+func (c *checker) chunkHead(b byte) (state, *MalformedError) {
+	const maxDigits = 16
+	digit := strings.IndexByte("0123456789abcdef", b|0x20) // of either case
+	switch {
+	case b >= '0' && digit >= 0 && c.count < maxDigits:
+		c.count++
+		c.chunkSize = c.chunkSize<<4 | uint64(digit)
+		return (*checker).chunkHead, nil
+	case c.count == 0 || digit >= 0:
+		return c.fail("invalid size of a chunk")
+	default:
+		return c.chunkExtension(b)
+	}
+}
+
+// chunkExtension checks what follows the size of a chunk.
+func (c *checker) chunkExtension(b byte) (state, *MalformedError) {
+	switch {
+	case b == '\r':
+		return (*checker).chunkHeadEnd, nil
+	case isControl(b):
+		return c.fail("control byte behind the size of a chunk")
+	default:
+		return (*checker).chunkExtension, nil
+	}
+}
+
+// chunkHeadEnd ends the line before the data of a chunk, or before the trailers.
+func (c *checker) chunkHeadEnd(b byte) (state, *MalformedError) {
 	if b != '\n' {
 		return c.fail("CR without LF")
 	}
-	return nil, nil
+	c.beginLine()
+	if c.chunkSize == 0 {
+		c.trailers = true
+		return (*checker).fieldStart, nil
+	}
+	c.chunkLeft, c.chunkSize = c.chunkSize, 0
+	return (*checker).chunkDataEnd, nil
+}
+
+// chunkDataEnd checks the line end behind the data of a chunk.
+func (c *checker) chunkDataEnd(b byte) (state, *MalformedError) {
+	if b != "\r\n"[c.count] {
+		return c.fail("data of a chunk longer than its size")
+	}
+	if c.count++; c.count == 1 {
+		return (*checker).chunkDataEnd, nil
+	}
+	c.beginLine()
+	return (*checker).chunkHead, nil
 }
 
 func isDigit(b byte) bool { return b >= '0' && b <= '9' }
--- a/internal/httpwire/reader.go
+++ b/internal/httpwire/reader.go
@@ -36,7 +36,7 @@
 // http.ReadResponse. The buffer must read from r. A violation of the protocol, also one that is
 // found while the body is read, is reported as a MalformedError.
 func (r *Reader) ReadResponse(buffer *bufio.Reader, req *http.Request) (*http.Response, error) {
-	r.checker, r.err = checker{}, nil
+	r.checker, r.err = checker{method: req.Method}, nil
 	ahead, _ := buffer.Peek(buffer.Buffered())
 	if _, malformed := r.checker.check(ahead); malformed != nil {
 		r.err = malformed
--- a/internal/supervisor/servers/malformed_test.go
+++ b/internal/supervisor/servers/malformed_test.go
@@ -119,3 +119,14 @@
 		{"blank in a name of an interim answer", "HTTP/1.1 103 X\r\nLink : y\r\n\r\n" + start + end, false},
 	})
 }
+
+// Guards against trailers and chunks that break the protocol and pass for the end of an answer.
+func TestAnswerWithAMalformedEndIsMalformed(t *testing.T) {
+	const start = "HTTP/1.1 200 OK\r\n" + told + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n"
+	testMalformed(t, []malformedCase{
+		{"blank behind the name of a trailer", start + "0\r\nX : y\r\n\r\n", false},
+		{"blank before the name of a trailer", start + "0\r\nX: y\r\n Y: z\r\n\r\n", false},
+		{"trailer that ends with LF alone", start + "0\r\nX: y\nY: z\r\n\r\n", false},
+		{"control byte behind the size of a chunk", start + "0;a\x00\r\n\r\n", false},
+	})
+}
--- a/internal/upstream/malformed_test.go
+++ b/internal/upstream/malformed_test.go
@@ -163,3 +163,26 @@
 		})
 	}
 }
+
+// Guards against trailers and chunks that break the protocol and pass for the end of an answer.
+func TestAnswerWithAMalformedEndIsMalformed(t *testing.T) {
+	const start = "HTTP/1.1 200 OK\r\nCall-Id: c1\r\nSigned: y\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n"
+	cases := []malformedCase{
+		{"blank behind the name of a trailer", start + "0\r\nX : y\r\n\r\n", false},
+		{"blank within the name of a trailer", start + "0\r\nX Y: z\r\n\r\n", false},
+		{"blank before the name of a trailer", start + "0\r\nX: y\r\n Y: z\r\n\r\n", false},
+		{"blank before the name of the first trailer", start + "0\r\n X: y\r\n\r\n", false},
+		{"control byte in the name of a trailer", start + "0\r\nX\x01: y\r\n\r\n", false},
+		{"trailer that ends with LF alone", start + "0\r\nX: y\nY: z\r\n\r\n", false},
+		{"blank behind the name of a trailer, unfinished", start + "0\r\nX :", false},
+		{"no size of a chunk", start + "\r\n", false},
+		{"size of a chunk with a sign", start + "+0\r\n\r\n", false},
+		{"size of a chunk too long", start + "00000000000000000\r\n\r\n", false},
+		{"size of a chunk that ends with LF alone", start + "0\n\r\n", false},
+		{"control byte behind the size of a chunk", start + "0;a\x00\r\n\r\n", false},
+		{"data longer than the chunk", start + "2\r\nhello\r\n0\r\n\r\n", false},
+		{"trailer behind an interim answer", "HTTP/1.1 100 Continue\r\n\r\n" + start + "0\r\nX : y\r\n\r\n", false},
+	}
+	testMalformed(t, cases)
+	testMalformedChecks(t, cases)
+}
