httpwire: Reject answers whose framing contradicts itself

Callers: an answer in HTTP/1.0 with Transfer-Encoding came with the sizes of its chunks as part of the body, a body that was not the server's. One with both Transfer-Encoding and Content-Length passed as whole, whichever of the two the server had meant.

Cause: net/http ignores Transfer-Encoding in HTTP/1.0 and Content-Length beside it.

Change: both fail the answer. RFC 9112, sections 6.1 and 6.3, calls the first one faulty framing and the second one a likely attack; the guard refuses such requests already.

Evidence: with the code before, all 6 cases of TestAnswerWithContradictoryFramingIsMalformed in internal/upstream and 2 of 2 in internal/supervisor/servers fail: the answers were passed on, or believed as "not run". All pass now.

--- a/internal/httpwire/checker.go
+++ b/internal/httpwire/checker.go
@@ -44,9 +44,11 @@
 	length int
 	// count is the number of bytes of the part of the line that is being checked.
 	count  int
+	minor  byte // the minor version
 	status int
-	// chunked says that the body comes in chunks, and trailers that its last chunk has ended.
-	chunked, trailers bool
+	// chunked says that the body comes in chunks, hasLength that its length is stated, and
+	// trailers that the last chunk has ended.
+	chunked, hasLength, trailers bool
 	// chunkSize is the size of the current chunk, and chunkLeft what is left of its data.
 	chunkSize, chunkLeft uint64
 }
@@ -90,7 +92,10 @@
 func (c *checker) version(b byte) (state, *MalformedError) {
 	c.count++
 	switch n := c.count - 1; {
-	case n < len(versionStart) && b == versionStart[n], n == len(versionStart) && isDigit(b):
+	case n < len(versionStart) && b == versionStart[n]:
+		return (*checker).version, nil
+	case n == len(versionStart) && isDigit(b):
+		c.minor = b
 		return (*checker).version, nil
 	case n > len(versionStart) && b == ' ':
 		c.count = 0
@@ -198,8 +203,12 @@
 // noteField notes whether a field frames the body. The parser accepts no other transfer coding
 // than chunks.
 func (c *checker) noteField(name []byte) {
-	if !c.trailers && bytes.EqualFold(name, []byte("Transfer-Encoding")) {
+	switch {
+	case c.trailers:
+	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
 		c.chunked = true
+	case bytes.EqualFold(name, []byte("Content-Length")):
+		c.hasLength = true
 	}
 }
 
@@ -210,6 +219,10 @@
 		return c.fail("CR without LF")
 	case c.trailers, !c.chunked, !c.hasBody():
 		return nil, nil
+	case c.minor == '0': // RFC 9112, section 6.1
+		return c.fail("Transfer-Encoding in HTTP/1.0")
+	case c.hasLength: // RFC 9112, section 6.3
+		return c.fail("both Transfer-Encoding and Content-Length")
 	default:
 		c.beginLine()
 		return (*checker).chunkHead, nil
--- a/internal/supervisor/servers/malformed_test.go
+++ b/internal/supervisor/servers/malformed_test.go
@@ -130,3 +130,12 @@
 		{"control byte behind the size of a chunk", start + "0;a\x00\r\n\r\n", false},
 	})
 }
+
+// Guards against bodies that callers and servers frame in different ways.
+func TestAnswerWithContradictoryFramingIsMalformed(t *testing.T) {
+	const chunks = "\r\n5\r\nhello\r\n0\r\n\r\n"
+	testMalformed(t, []malformedCase{
+		{"chunks in HTTP/1.0", "HTTP/1.0 200 OK\r\n" + told + "Transfer-Encoding: chunked\r\nContent-Length: 15\r\n" + chunks, true},
+		{"chunks and a length", "HTTP/1.1 200 OK\r\n" + told + "Transfer-Encoding: chunked\r\nContent-Length: 15\r\n" + chunks, false},
+	})
+}
--- a/internal/upstream/malformed_test.go
+++ b/internal/upstream/malformed_test.go
@@ -186,3 +186,15 @@
 	testMalformed(t, cases)
 	testMalformedChecks(t, cases)
 }
+
+// Guards against bodies that callers and servers frame in different ways.
+func TestAnswerWithContradictoryFramingIsMalformed(t *testing.T) {
+	const chunks = "\r\n5\r\nhello\r\n0\r\n\r\n"
+	cases := []malformedCase{
+		{"chunks in HTTP/1.0", "HTTP/1.0 200 OK\r\n" + told + "Transfer-Encoding: chunked\r\n" + chunks, true},
+		{"chunks and a length", "HTTP/1.1 200 OK\r\n" + told + "Transfer-Encoding: chunked\r\nContent-Length: 15\r\n" + chunks, false},
+		{"a length and chunks", "HTTP/1.1 200 OK\r\n" + told + "content-length: 15\r\ntransfer-encoding: chunked\r\n" + chunks, false},
+	}
+	testMalformed(t, cases)
+	testMalformedChecks(t, cases)
+}
