upstream: Learn nothing from the head of an answer that turns out malformed

Callers: a server whose answer came in chunks and broke the protocol behind its head was left alone for good if the head said that it leaves, or for the time of its Retry-After, in calls and in health checks. With few servers the callers of the service were refused.

Cause: what a server asks for is taken from the head before the body is read.

Change: for an answer in chunks it is taken once chunks and trailers have been read, unless they are malformed. An answer that is cut still counts, and one with a length is heard at its head, as before: nothing of it can turn out malformed.

Evidence: the 6 cases of TestHeadOfAMalformedAnswerIsNotBelieved fail before and pass now; TestServerThatAsksForItIsLeftAlone, with its cut body, passes unchanged.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -159,10 +159,17 @@
 	memory *memory.FairBudget
 	// discard says that bodies are read and not kept.
 	discard bool
-	// observe is called with the head of each answer before its body is read; nil for none.
+	// observe is called with the head of each answer that is not malformed, also if its body
+	// is cut; nil for none.
 	observe func(status int, h http.Header)
 }
 
+func (l *answerLimits) observeHead(res *http.Response) {
+	if l.observe != nil {
+		l.observe(res.StatusCode, res.Header)
+	}
+}
+
 // read returns the answer to the last request. It skips interim answers, and answers for
 // which matches returns false. It stops reading at the limits, so that a server that
 // sends without end costs no more than the largest answer. It waits for memory until the
@@ -208,11 +215,17 @@
 		}
 		return response{body: body}, errors.Wrap(err, "read the answer")
 	}
-	if limits.observe != nil {
-		limits.observe(res.StatusCode, res.Header)
+	// An answer in chunks may still turn out malformed.
+	chunked := len(res.TransferEncoding) > 0
+	if !chunked {
+		limits.observeHead(res)
 	}
 	c.limited.left = limits.bodyBytes + maxHeadBytes
-	if err := c.readBody(ctx, res, limits, body); err != nil {
+	err = c.readBody(ctx, res, limits, body)
+	if chunked && !httpwire.IsMalformed(err) {
+		limits.observeHead(res)
+	}
+	if err != nil {
 		c.limited.left = 0 // Close would read the rest of the body
 		_ = res.Body.Close()
 		return response{body: body}, err
--- a/internal/upstream/malformed_test.go
+++ b/internal/upstream/malformed_test.go
@@ -198,3 +198,16 @@
 	testMalformed(t, cases)
 	testMalformedChecks(t, cases)
 }
+
+// Guards against requests of a server that are taken from the head of an answer, although the
+// answer turns out to break the protocol behind it.
+func TestHeadOfAMalformedAnswerIsNotBelieved(t *testing.T) {
+	const start = "HTTP/1.1 503 X\r\n" + told + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n"
+	cases := []malformedCase{
+		{"trailer", start + "0\r\nX : y\r\n\r\n", false},
+		{"size of a chunk", start + "x", false},
+		{"end of a chunk", start + "2\r\nhello\r\n0\r\n\r\n", false},
+	}
+	testMalformed(t, cases)
+	testMalformedChecks(t, cases)
+}
