httpwire, platform: Take nothing from a malformed answer of the store

Callers: a listing or a watch whose answer broke the protocol was taken for what the store holds, and 410 in such an answer for the loss of its history. Its connection was used again. A listing with a malformed trailer, or cut behind the page, was taken as well, since reading stopped at the end of the page.

Cause: reads of the store use http.Transport, which parses answers like the request paths did.

Change: httpwire.Transport checks the bytes of each connection from the first ones behind a request: interim answers, head, chunks and trailers.

Evidence: with the code before, all 13 cases of TestMalformedAnswerOfTheStoreSaysNothing fail: pages from malformed answers (5), lost history (2), an answer waited for until the read's timeout (1); the rest failed already, without the reason. All pass now, also under the race detector. TestUnusualAnswersOfTheStoreAreAnswers reads 15 answers over one connection.

--- a/internal/httpwire/checker.go
+++ b/internal/httpwire/checker.go
@@ -35,10 +35,13 @@
 // checker checks the bytes of one response as they arrive: its head, and the chunks and trailers
 // of its body.
 type checker struct {
-	// method is the method of the request.
+	// method is the method of the request, empty for GET.
 	method string
-	begun  bool
-	next   state
+	// finalOnly says that the check goes on behind an interim response, up to the end of the
+	// final one.
+	finalOnly bool
+	begun     bool
+	next      state
 	// line is the start of the current line, and length its length.
 	line   [maxQuoted]byte
 	length int
@@ -78,6 +81,9 @@
 	return len(data), nil
 }
 
+// done reports whether the checked part of the response has ended.
+func (c *checker) done() bool { return c.begun && c.next == nil }
+
 // beginLine begins a line of the head, of the framing of a chunk or of the trailers.
 func (c *checker) beginLine() { c.length, c.count = 0, 0 }
 
@@ -217,6 +223,9 @@
 	switch {
 	case b != '\n':
 		return c.fail("CR without LF")
+	case c.finalOnly && c.isInterim():
+		*c = checker{method: c.method, finalOnly: true, begun: true}
+		return (*checker).version, nil
 	case c.trailers, !c.chunked, !c.hasBody():
 		return nil, nil
 	case c.minor == '0': // RFC 9112, section 6.1
@@ -229,6 +238,11 @@
 	}
 }
 
+// isInterim reports whether another response follows the head (RFC 9110, section 15.2).
+func (c *checker) isInterim() bool {
+	return c.status < http.StatusOK && c.status != http.StatusSwitchingProtocols
+}
+
 // hasBody reports whether the head's fields frame a body (RFC 9112, section 6.3).
 func (c *checker) hasBody() bool {
 	return c.method != http.MethodHead && c.status >= http.StatusOK && c.status != http.StatusNoContent && c.status != http.StatusNotModified
--- a/internal/httpwire/reader.go
+++ b/internal/httpwire/reader.go
@@ -4,14 +4,15 @@
 	"bufio"
 	"io"
 	"net/http"
+	"sync/atomic"
 )
 
-// Reader reads responses from a connection. It is not safe for concurrent use.
+// Reader reads responses from a connection. Its methods must not be called at the same time.
 type Reader struct {
 	raw     io.Reader
 	checker checker
-	// err is the first violation in the current response.
-	err error
+	// violation is the first one in the current response; nil for none.
+	violation atomic.Pointer[MalformedError]
 }
 
 // NewReader returns a reader of the responses that arrive on raw.
@@ -19,15 +20,19 @@
 
 // Read reads the bytes of responses up to the first one that breaks the protocol, and fails with
 // a MalformedError from there on.
-func (r *Reader) Read(b []byte) (int, error) {
-	if r.err != nil {
-		return 0, r.err
+func (r *Reader) Read(b []byte) (int, error) { return r.read(b, func() {}) }
+
+// read is Read. It calls arrived before it checks bytes that have arrived.
+func (r *Reader) read(b []byte, arrived func()) (int, error) {
+	if v := r.violation.Load(); v != nil {
+		return 0, v
 	}
 	n, err := r.raw.Read(b)
-	valid, malformed := r.checker.check(b[:n])
-	if malformed != nil {
-		r.err = malformed
-		return valid, r.err
+	arrived()
+	valid, v := r.checker.check(b[:n])
+	if v != nil {
+		r.violation.Store(v)
+		return valid, v
 	}
 	return n, err
 }
@@ -36,11 +41,12 @@
 // http.ReadResponse. The buffer must read from r. A violation of the protocol, also one that is
 // found while the body is read, is reported as a MalformedError.
 func (r *Reader) ReadResponse(buffer *bufio.Reader, req *http.Request) (*http.Response, error) {
-	r.checker, r.err = checker{method: req.Method}, nil
+	r.checker = checker{method: req.Method}
 	ahead, _ := buffer.Peek(buffer.Buffered())
-	if _, malformed := r.checker.check(ahead); malformed != nil {
-		r.err = malformed
-		return nil, r.err
+	_, v := r.checker.check(ahead)
+	r.violation.Store(v)
+	if v != nil {
+		return nil, v
 	}
 	res, err := http.ReadResponse(buffer, req)
 	if err != nil {
@@ -52,8 +58,8 @@
 
 // cause returns the violation, or else err. The parser reports a violation as an early end.
 func (r *Reader) cause(err error) error {
-	if r.err != nil {
-		return r.err
+	if v := r.violation.Load(); v != nil {
+		return v
 	}
 	return err
 }
