configuration: Take no list from a malformed answer of the service

Callers: a list, its version or a "not modified" was taken from an answer of the configuration service with a blank in the name of a field or of a trailer.

Cause: the lists are read with http.Client, with net/http's parser as on the request paths.

Change: the client uses httpwire.Transport, over TLS too, with HTTP/1.1 then. Answers that come over TLS through a proxy are not checked. The error of a body names the service.

--- a/internal/httpwire/transport.go
+++ b/internal/httpwire/transport.go
@@ -14,12 +14,13 @@
 
 type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
 
-// NewTransport returns a transport with the settings of base, whose dial functions it replaces.
-// base needs a DialContext, and a DialTLSContext if it is used with https.
+// NewTransport returns a transport with the settings of base, which must have the dial function
+// that it is used with: DialTLSContext for https, or else DialContext. It replaces that function.
 func NewTransport(base *http.Transport) *Transport {
-	base.DialContext = checkResponses(base.DialContext)
 	if base.DialTLSContext != nil {
 		base.DialTLSContext = checkResponses(base.DialTLSContext)
+	} else {
+		base.DialContext = checkResponses(base.DialContext)
 	}
 	return &Transport{base}
 }
--- a/internal/supervisor/configuration/watch.go
+++ b/internal/supervisor/configuration/watch.go
@@ -8,16 +8,19 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/baobabstack/baobabstack/internal/fault"
+	"github.com/baobabstack/baobabstack/internal/httpwire"
 	"github.com/baobabstack/baobabstack/internal/lists"
 	"github.com/baobabstack/baobabstack/internal/logs"
 	"github.com/baobabstack/baobabstack/internal/policy/readers"
@@ -58,7 +61,17 @@
 
 // NewWatcher returns a watcher of one list.
 func NewWatcher(name lists.Name, source Source, holder *view.Holder, c *control.Control) *Watcher {
-	return &Watcher{name: name, source: source, holder: holder, control: c, client: &http.Client{Timeout: readTimeout}, log: logs.For("configuration")}
+	return &Watcher{name: name, source: source, holder: holder, control: c, client: newClient(source.URL), log: logs.For("configuration")}
+}
+
+// newClient returns a client of the service at a base URL. The answers of one that is reached
+// over TLS through a proxy are not checked.
+func newClient(base string) *http.Client {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	if strings.HasPrefix(base, "https:") {
+		transport.DialTLSContext = (&tls.Dialer{}).DialContext
+	}
+	return &http.Client{Timeout: readTimeout, Transport: httpwire.NewTransport(transport)}
 }
 
 // Serve reads the list until the context ends, as the entry's role says. While
@@ -172,7 +185,7 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(res.Body, lists.MaxBytes+1))
 	if err != nil {
-		return 0, errors.WithStack(err)
+		return 0, errors.Wrapf(err, "read the list from %s", w.source.URL)
 	}
 	arrived := control.ListArrived{Name: w.name, Version: version, Body: body, Source: "configuration"}
 	if !w.control.Send(arrived) {
