peers: Reject a malformed reply of another entry

Callers: a reply of the owner of a ticket without a status reached the caller as a 200 with an empty body; one with a status of 600, or with a name or value that is no field, was passed on without the line. "Not run" in such a reply was believed.

Cause: the reply's status and fields were taken over as they are, and the listener writes 200 where no status is set.

Change: httpwire.CheckFinal checks them. Such a call is answered like one without a reply: unknown, 502, with a log line that names the owner and the violation.

Evidence: with the code before, the 11 cases of TestMalformedReplyOfAnotherEntryIsUnknown fail; all pass now. The replies come from a stand-in; no entry of this code was seen to send one.

--- a/internal/supervisor/peers/forward.go
+++ b/internal/supervisor/peers/forward.go
@@ -14,6 +14,7 @@
 	"github.com/baobabstack/baobabstack/internal/call"
 	"github.com/baobabstack/baobabstack/internal/clock"
 	"github.com/baobabstack/baobabstack/internal/fault"
+	"github.com/baobabstack/baobabstack/internal/httpwire"
 	"github.com/baobabstack/baobabstack/internal/journal"
 	"github.com/baobabstack/baobabstack/internal/lists"
 	"github.com/baobabstack/baobabstack/internal/logs"
@@ -77,9 +78,11 @@
 	ctx, span := tracing.StartAttempt(ctx, owner.ID)
 	reply, err := f.send(ctx, owner.Address, f.wire(ctx, req), req.Deadline)
 	var answer call.Answer
+	if err == nil {
+		answer, err = answerOf(reply)
+	}
 	switch {
 	case err == nil:
-		answer = answerOf(reply)
 	case f.clock.Now() >= req.Deadline:
 		answer = call.Refusal(outcome.Unknown, http.StatusGatewayTimeout, reasonDeadline, 0)
 	default:
@@ -173,9 +176,9 @@
 	return h
 }
 
-// answerOf returns the owner's answer. An outcome that this version does not
-// know is Unknown.
-func answerOf(reply *peerwire.ForwardReply) call.Answer {
+// answerOf returns the owner's answer, or an error if it can't be that of a server or an entry. An
+// outcome that this version does not know is Unknown.
+func answerOf(reply *peerwire.ForwardReply) (call.Answer, error) {
 	a := call.Answer{
 		Status: int(reply.GetStatus()), Header: headerOf(reply.GetHeaders()), Body: reply.GetBody(),
 		Server: reply.GetServer(), Reason: reply.GetReason(),
@@ -186,5 +189,5 @@
 	default:
 		a.Outcome = outcome.Unknown
 	}
-	return a
+	return a, httpwire.CheckFinal(a.Status, a.Header)
 }
