--- a/internal/supervisor/peers/malformed_test.go
+++ b/internal/supervisor/peers/malformed_test.go
@@ -70,3 +70,12 @@
 	assert.Equal(t, a.Outcome, outcome.NotRun)
 	assert.Equal(t, a.Status, http.StatusServiceUnavailable)
 }
+
+// Guards against answers that are lost between two entries: the value of a field may hold bytes
+// that are no UTF-8.
+func TestForwardedAnswerMayHoldBytesAboveASCII(t *testing.T) {
+	const value = "caf\xe9"
+	a := forwardTo(t, &peerwire.ForwardReply{Outcome: uint32(outcome.Answered), Status: 200, Headers: []*peerwire.Header{{Name: "X", Value: value}}})
+	assert.Equal(t, a.Outcome, outcome.Answered)
+	assert.Equal(t, a.Header.Get("X"), value)
+}
