cli: Print nothing of a malformed answer of an entry

Cause: the answers are read with net/http's parser, and copied while they are read.

Change: the client uses httpwire.Transport and reads the whole answer before it prints any of it.

Evidence: the 3 cases of TestMalformedAnswerOfAnEntryIsNotPrinted fail before (two printed with exit status 0, one without saying why) and pass now.

--- a/internal/cli/operators.go
+++ b/internal/cli/operators.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/baobabstack/baobabstack/internal/fault"
+	"github.com/baobabstack/baobabstack/internal/httpwire"
 	"github.com/baobabstack/baobabstack/internal/journal"
 	"github.com/baobabstack/baobabstack/internal/supervisor/admin"
 )
@@ -43,7 +44,8 @@
 	if err != nil {
 		return false, fault.Wrap(err, fault.Request, "--admin", "is not an address", "write it like 10.0.0.1:9000")
 	}
-	res, err := http.DefaultClient.Do(req)
+	client := &http.Client{Transport: httpwire.NewTransport(http.DefaultTransport.(*http.Transport).Clone())}
+	res, err := client.Do(req)
 	if err != nil {
 		return false, fault.Wrap(err, fault.Request, o.Admin, "the entry does not answer", "check the address and that the entry runs")
 	}
@@ -51,11 +53,15 @@
 	if res.StatusCode != http.StatusOK {
 		return false, fault.New(fault.Request, o.Admin, "the entry answered "+res.Status, "check that this is an admin address")
 	}
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		return false, fault.Wrap(err, fault.Request, o.Admin, "the entry's answer is not whole", "check that this is an admin address")
+	}
 	if o.JSON {
-		_, err = io.Copy(out, res.Body)
+		_, err = out.Write(body)
 		return false, errors.WithStack(err)
 	}
-	return true, errors.WithStack(json.NewDecoder(res.Body).Decode(into))
+	return true, errors.WithStack(json.Unmarshal(body, into))
 }
 
 type statusCommand struct {
