upstream: Do not repeat a health check after a malformed answer

Servers: since status 000 fails a health check at once, one on a connection that was used before was sent a second time, beyond the budget of health checks.

Cause: any failure on such a connection is taken for a sign that the server has closed it.

Change: a malformed answer ends the check.

Evidence: TestMalformedAnswerToAHealthCheckIsNotAskedForAgain gets a third request before, which succeeds, and two now.

--- a/internal/upstream/malformed_test.go
+++ b/internal/upstream/malformed_test.go
@@ -81,6 +81,23 @@
 	}
 }
 
+// Guards against health checks beyond the budget: a malformed answer on a connection that was used
+// before doesn't mean that the server has closed it.
+func TestMalformedAnswerToAHealthCheckIsNotAskedForAgain(t *testing.T) {
+	backend, server := startFakeServer(t, func(conn, request int) (string, bool) {
+		if conn == 1 && request == 2 {
+			return malformedStatus[0].answer, false
+		}
+		return healthAnswer, false
+	})
+	mustProbe(t, server).Release()
+	begin := time.Now()
+	_, _, err := server.Probe(context.Background(), malformedDeadline)
+	checkMalformed(t, server, begin, err)
+	assert.Equal(t, len(backend.receivedRequests()), 2)
+	mustProbe(t, server)
+}
+
 func checkMalformed(t *testing.T, server *Server, begin time.Time, err error) {
 	t.Helper()
 	assert.Assert(t, httpwire.IsMalformed(err), "%v", err)
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/baobabstack/baobabstack/internal/httpwire"
 	"github.com/baobabstack/baobabstack/internal/memory"
 )
 
@@ -110,8 +111,8 @@
 }
 
 // Probe sends a health check. The lease allows a call on the same connection; it is nil
-// if that connection can't be reused. If the health check fails on an idle connection, it
-// is sent once more on a new one. It fails with ErrLeftAlone if the server wants no requests.
+// if that connection can't be reused. If the health check fails on an idle connection without a
+// malformed answer, it is sent once more on a new one. It fails with ErrLeftAlone if the server wants no requests.
 func (s *Server) Probe(ctx context.Context, timeout time.Duration) (Health, *Lease, error) {
 	if !s.options.Standing.Available(time.Now()) {
 		return Health{}, nil, errors.WithStack(ErrLeftAlone)
@@ -123,7 +124,7 @@
 	}
 	reused := !c.fresh
 	h, err := s.healthCheck(ctx, c, deadline)
-	if err != nil && reused && ctx.Err() == nil && time.Now().Before(deadline) && s.options.Standing.Available(time.Now()) {
+	if err != nil && !httpwire.IsMalformed(err) && reused && ctx.Err() == nil && time.Now().Before(deadline) && s.options.Standing.Available(time.Now()) {
 		// The server closed an idle connection, and may have closed the others as well.
 		s.pool.closeIdleBefore(time.Now())
 		if c, err = s.pool.get(ctx, time.Until(deadline), true); err != nil {
