gateway: Log malformed answers to health checks

Operators: a server that got no work because its health checks were answered with malformed answers left no line that says so.

Change: a line with the server, its service and the violation. Checks of such a server back off, so the lines are bounded.

Evidence: TestGatewaysTakeNothingFromAMalformedHealthCheck in proof finds the lines in the log of a process. On it fails: the server that such a health check called leaving gets no more work.

--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/baobabstack/baobabstack/internal/httpwire"
 	"github.com/baobabstack/baobabstack/internal/placement"
 	"github.com/baobabstack/baobabstack/internal/upstream"
 )
@@ -328,6 +329,9 @@
 		if inTime && !errors.Is(err, upstream.ErrLeftAlone) {
 			failed()
 		}
+		if httpwire.IsMalformed(err) {
+			standingLog.With("server", t.info.ID).With("service", t.info.Service).Warnf("health check failed: %v", err)
+		}
 		return nil
 	}
 	if !inTime {
--- a/proof/malformed_test.go
+++ b/proof/malformed_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -92,6 +93,31 @@
 	}
 }
 
+// Guards against health checks that are believed although their answers break the protocol: the
+// server would be left alone for good, or be taken for one that has room.
+func TestGatewaysTakeNothingFromAMalformedHealthCheck(t *testing.T) {
+	f := startGatewayFleet(t, gatewayFleetOptions{Timeout: malformedDeadline})
+	const told = "Instance-Id: i-0\r\nServer-Leaving: 1\r\nRetry-After: 60\r\nServer-Load: 0,0,99\r\n"
+	for _, m := range append(malformedStatuses[:1:1], malformedFields[0], malformedEnds[0]) {
+		f.servers[0].AnswerChecksRaw(m.with(told))
+		for range 10 {
+			for _, host := range f.hosts {
+				id := fmt.Sprintf("%016x", rand.Uint64())
+				status, body := askGateway(t, host, "look", id)
+				assert.Check(t, status == http.StatusOK && body == id+" GET /x ", "%s: status %d, body %q", m.name, status, body)
+			}
+		}
+		f.servers[0].AnswerChecksRaw("")
+		f.awaitWork(t)
+	}
+	log, err := os.ReadFile(f.logs[0])
+	assert.NilError(t, err)
+	for _, want := range []string{"the status code is not from 100 to 599", "the name of a field is no token"} {
+		assert.Check(t, strings.Contains(string(log), "health check failed: read the answer: malformed response: "+want), "no log line of: %s", want)
+	}
+	assert.Check(t, strings.Contains(string(log), "server=i-0"))
+}
+
 // awaitWork waits until each server has got a request, so none is taken for a leaving one.
 func (f *gatewayFleet) awaitWork(t *testing.T) {
 	t.Helper()
