upstream: Learn nothing from interim answers

Callers: a server that announced in an interim answer that it leaves, and then sent a malformed one, was left alone for good.

Cause: an interim answer is a part of the answer to a request, but its head was believed before the final one had come.

Change: only heads of final answers are believed. A server that leaves says so in all of them.

Evidence: the case "final answer behind an interim one" of TestHeadOfAMalformedAnswerIsNotBelieved, for calls and for health checks, fails before and passes now.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -159,13 +159,13 @@
 	memory *memory.FairBudget
 	// discard says that bodies are read and not kept.
 	discard bool
-	// observe is called with the head of each answer that is not malformed, also if its body
-	// is cut; nil for none.
+	// observe is called with the head of each final answer that is not malformed, also if its
+	// body is cut; nil for none.
 	observe func(status int, h http.Header)
 }
 
 func (l *answerLimits) observeHead(res *http.Response) {
-	if l.observe != nil {
+	if l.observe != nil && res.StatusCode >= http.StatusOK {
 		l.observe(res.StatusCode, res.Header)
 	}
 }
--- a/internal/upstream/malformed_test.go
+++ b/internal/upstream/malformed_test.go
@@ -224,6 +224,7 @@
 		{"trailer", start + "0\r\nX : y\r\n\r\n", false},
 		{"size of a chunk", start + "x", false},
 		{"end of a chunk", start + "2\r\nhello\r\n0\r\n\r\n", false},
+		{"final answer behind an interim one", "HTTP/1.1 103 X\r\n" + told + "\r\nHTTP/1.1 000 X\r\n\r\n", false},
 	}
 	testMalformed(t, cases)
 	testMalformedChecks(t, cases)
