--- a/internal/cli/operators_test.go
+++ b/internal/cli/operators_test.go
@@ -1,15 +1,13 @@
 package cli
 
 import (
-	"bufio"
 	"bytes"
 	"fmt"
-	"io"
-	"net"
-	"net/http"
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/baobabstack/baobabstack/internal/standin"
 )
 
 // Guards against the state of an entry that is printed from an answer which breaks the protocol.
@@ -22,21 +20,10 @@
 		"blank in a name of a trailer": fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\nX : y\r\n\r\n", len(state), state),
 	} {
 		t.Run(name, func(t *testing.T) {
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			raw, err := standin.StartRawServer("raw", "entry", func(c *standin.RawConn) { c.AnswerAll(answer) })
 			assert.NilError(t, err)
-			defer listener.Close()
-			go func() {
-				for {
-					c, err := listener.Accept()
-					if err != nil {
-						return
-					}
-					_, _ = http.ReadRequest(bufio.NewReader(c))
-					_, _ = io.WriteString(c, answer)
-					c.Close()
-				}
-			}()
-			args := []string{"status", "--admin", listener.Addr().String()}
+			defer raw.Close()
+			args := []string{"status", "--admin", raw.Info.Address}
 			for _, args := range [][]string{args, append(args, "--json")} {
 				var out, errOut bytes.Buffer
 				assert.Equal(t, Run(args, &out, &errOut), exitFailed, "%s", out.String())
--- a/internal/standin/raw.go
+++ b/internal/standin/raw.go
@@ -106,5 +106,16 @@
 	return run, nil
 }
 
+// AnswerAll answers each request with the same text until the other side closes the connection. It
+// counts no runs.
+func (c *RawConn) AnswerAll(text string) {
+	for {
+		if _, err := c.Request(); err != nil {
+			return
+		}
+		c.Send(text)
+	}
+}
+
 // Send writes text as it is.
 func (c *RawConn) Send(text string) { _, _ = io.WriteString(c, text) }
--- a/internal/supervisor/configuration/malformed_test.go
+++ b/internal/supervisor/configuration/malformed_test.go
@@ -1,12 +1,7 @@
 package configuration
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
-	"net/http"
-	"strings"
 	"testing"
 	"time"
 
@@ -21,32 +16,6 @@
 	"github.com/baobabstack/baobabstack/internal/view"
 )
 
-// rawService answers each read with the same bytes and keeps the connections open.
-func rawService(t *testing.T, answer string) (url string) {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				for reader := bufio.NewReader(c); ; {
-					if _, err := http.ReadRequest(reader); err != nil {
-						return
-					}
-					_, _ = io.WriteString(c, answer)
-				}
-			}()
-		}
-	}()
-	return "http://" + listener.Addr().String()
-}
-
 // Guards against lists and versions that are taken from an answer which breaks the protocol.
 func TestMalformedAnswerOfTheServiceSaysNothing(t *testing.T) {
 	plans := string(standin.SamplePlans())
@@ -62,14 +31,17 @@
 		"blank in a name of a trailer":    "HTTP/1.1 200 OK\r\n" + version + chunks + "X : y\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
+			raw, err := standin.StartRawServer("raw", "configuration", func(c *standin.RawConn) { c.AnswerAll(answer) })
+			assert.NilError(t, err)
+			defer raw.Close()
 			holder := &view.Holder{}
 			c := control.New("127.0.0.1:1", holder, servers.NewRegistry(1<<20), journal.New(16))
 			go func() { _ = c.Serve(t.Context()) }()
-			source := Source{URL: rawService(t, answer), Self: "127.0.0.1:1", DigestAge: func() time.Duration { return 0 }}
+			source := Source{URL: "http://" + raw.Info.Address, Self: "127.0.0.1:1", DigestAge: func() time.Duration { return 0 }}
 			w := NewWatcher(lists.PlansName, source, holder, c)
 			found, err := w.get(t.Context(), 0, 0)
 			assert.Assert(t, httpwire.IsMalformed(err), "version %d, %v", found, err)
-			assert.Assert(t, strings.Contains(err.Error(), strings.TrimPrefix(source.URL, "http://")), "%v", err)
+			assert.ErrorContains(t, err, raw.Info.Address)
 			c.Send(control.PeersAsked{})
 			c.Send(control.StopRequested{})
 			eventually(t, "the end of the events", func() bool { return holder.Load().Leaving })
--- a/internal/supervisor/servers/malformed_test.go
+++ b/internal/supervisor/servers/malformed_test.go
@@ -1,10 +1,6 @@
 package servers
 
 import (
-	"bufio"
-	"io"
-	"net"
-	"net/http"
 	"testing"
 	"time"
 
@@ -13,6 +9,7 @@
 	"github.com/baobabstack/baobabstack/internal/clock"
 	"github.com/baobabstack/baobabstack/internal/httpwire"
 	"github.com/baobabstack/baobabstack/internal/policy/outcome"
+	"github.com/baobabstack/baobabstack/internal/standin"
 )
 
 // malformedCase is an answer that breaks the protocol.
@@ -31,32 +28,16 @@
 // answering starts a server that gives one answer to all requests and returns its address.
 func answering(t *testing.T, answer string, closes bool) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				for reader := bufio.NewReader(c); ; {
-					req, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, req.Body)
-					_, _ = io.WriteString(c, answer)
-					if closes {
-						return
-					}
-				}
-			}()
+	raw, err := standin.StartRawServer("moves-raw", "moves", func(c *standin.RawConn) {
+		if !closes {
+			c.AnswerAll(answer)
+		} else if _, err := c.Request(); err == nil {
+			c.Send(answer)
 		}
-	}()
-	return listener.Addr().String()
+	})
+	assert.NilError(t, err)
+	t.Cleanup(raw.Close)
+	return raw.Info.Address
 }
 
 func testMalformed(t *testing.T, cases []malformedCase) {
