httpwire: Word errors and comments in the terms of HTTP

Cause: errors spoke of blanks and of names that are no tokens; two comments were cut off from their functions or too long. Change: invalid field name, whitespace before a field name, control character, chunk extension. Result: the tests that read the texts pass with the new ones.

--- a/internal/httpwire/checker.go
+++ b/internal/httpwire/checker.go
@@ -13,7 +13,7 @@
 
 // MalformedError says how a response breaks the protocol.
 type MalformedError struct {
-	// Reason names the violation, the line and the bytes before it.
+	// Reason names the violation and quotes the start of its line.
 	Reason string
 }
 
@@ -26,7 +26,7 @@
 	return errors.As(err, &malformed)
 }
 
-// maxQuoted is the most of a line that is kept for errors.
+// maxQuoted is the most of a line that errors quote, in bytes.
 const maxQuoted = 40
 
 // state checks one byte and returns the next state; nil ends the check.
@@ -37,7 +37,7 @@
 type checker struct {
 	// method is the method of the request, empty for GET.
 	method string
-	// finalOnly says that the check goes on behind an interim response, up to the end of the
+	// finalOnly says that the check continues after an interim response, up to the end of the
 	// final one.
 	finalOnly bool
 	begun     bool
@@ -56,7 +56,7 @@
 }
 
 // check checks the next bytes of the response. It returns the number of bytes before the first
-// violation. Bytes behind the checked part are accepted.
+// violation. Bytes after the checked part are accepted.
 func (c *checker) check(data []byte) (valid int, malformed *MalformedError) {
 	if !c.begun {
 		c.begun, c.next = true, (*checker).version
@@ -106,7 +106,7 @@
 		c.count = 0
 		return (*checker).statusCode, nil
 	default:
-		return c.fail("the version is not HTTP/1.x")
+		return c.fail("version is not HTTP/1.x")
 	}
 }
 
@@ -120,19 +120,19 @@
 func (c *checker) statusCode(b byte) (state, *MalformedError) {
 	const digits = 3
 	if !isDigit(b) {
-		return c.fail("the status code has no three digits")
+		return c.fail("status code is not three digits")
 	}
 	c.status = 10*c.status + int(b-'0')
 	if c.count++; c.count < digits {
 		return (*checker).statusCode, nil
 	}
 	if c.status < minStatus || c.status > maxStatus {
-		return c.fail("the status code is not from 100 to 599")
+		return c.fail("status code is not from 100 to 599")
 	}
 	return (*checker).statusEnd, nil
 }
 
-// statusEnd checks the byte behind the status code. The space before an absent reason is optional.
+// statusEnd checks the byte after the status code. The space before an absent reason is optional.
 func (c *checker) statusEnd(b byte) (state, *MalformedError) {
 	switch b {
 	case ' ':
@@ -140,25 +140,24 @@
 	case '\r':
 		return (*checker).lineFeed, nil
 	default:
-		return c.fail("the status code has no three digits")
+		return c.fail("status code is not three digits")
 	}
 }
 
-// reason checks the reason in the status line.
-
+// reason checks the reason phrase in the status line.
 func (c *checker) reason(b byte) (state, *MalformedError) {
 	switch {
 	case b == '\r':
 		return (*checker).lineFeed, nil
 	case isControl(b):
-		return c.fail("control byte in the status line")
+		return c.fail("control character in the status line")
 	default:
 		return (*checker).reason, nil
 	}
 }
 
-// lineFeed ends a line of the head or of the trailers. RFC 9112 also allows to read LF alone as its end, but then a
-// name that begins with LF ends the head.
+// lineFeed ends a line of the head or of the trailers. RFC 9112 lets a recipient take LF alone for
+// the end of a line, but then a name that begins with LF would end the head.
 func (c *checker) lineFeed(b byte) (state, *MalformedError) {
 	if b != '\n' {
 		return c.fail("CR without LF")
@@ -167,15 +166,15 @@
 	return (*checker).fieldStart, nil
 }
 
-// fieldStart checks the first byte of a field line, or of the empty line behind the fields. RFC
-// 9112 lets a gateway reject folded lines. One that is not meant as such is a field whose name
-// begins with a blank.
+// fieldStart checks the first byte of a field line, or of the empty line after the fields. Folded
+// lines are rejected, as RFC 9112, section 5.2, allows: they can't be told from a field name with
+// whitespace before it.
 func (c *checker) fieldStart(b byte) (state, *MalformedError) {
 	switch b {
 	case '\r':
 		return (*checker).fieldsEnd, nil
 	case ' ', '\t':
-		return c.fail("blank at the start of a field line")
+		return c.fail("whitespace before a field name")
 	default:
 		return c.fieldName(b)
 	}
@@ -190,7 +189,7 @@
 		c.count++
 		return (*checker).fieldName, nil
 	default:
-		return c.fail("the name of a field is no token")
+		return c.fail("invalid field name")
 	}
 }
 
@@ -199,14 +198,13 @@
 	case b == '\r':
 		return (*checker).lineFeed, nil
 	case isControl(b):
-		return c.fail("control byte in the value of a field")
+		return c.fail("control character in a field value")
 	default:
 		return (*checker).fieldValue, nil
 	}
 }
 
-// noteField notes whether a field frames the body. The parser accepts no other transfer coding
-// than chunks.
+// noteField records whether the body is chunked. The parser rejects other transfer codings.
 func (c *checker) noteField(name []byte) {
 	if !c.trailers && bytes.EqualFold(name, []byte("Transfer-Encoding")) {
 		c.chunked = true
@@ -251,19 +249,19 @@
 		c.chunkSize = c.chunkSize<<4 | uint64(digit)
 		return (*checker).chunkHead, nil
 	case c.count == 0 || digit >= 0:
-		return c.fail("invalid size of a chunk")
+		return c.fail("invalid chunk size")
 	default:
 		return c.chunkExtension(b)
 	}
 }
 
-// chunkExtension checks what follows the size of a chunk.
+// chunkExtension checks what follows a chunk size on its line.
 func (c *checker) chunkExtension(b byte) (state, *MalformedError) {
 	switch {
 	case b == '\r':
 		return (*checker).chunkHeadEnd, nil
 	case isControl(b):
-		return c.fail("control byte behind the size of a chunk")
+		return c.fail("control character in a chunk extension")
 	default:
 		return (*checker).chunkExtension, nil
 	}
@@ -286,7 +284,7 @@
 // chunkDataEnd checks the line end behind the data of a chunk.
 func (c *checker) chunkDataEnd(b byte) (state, *MalformedError) {
 	if b != "\r\n"[c.count] {
-		return c.fail("data of a chunk longer than its size")
+		return c.fail("chunk data is longer than the chunk size")
 	}
 	if c.count++; c.count == 1 {
 		return (*checker).chunkDataEnd, nil
@@ -297,5 +295,6 @@
 
 func isDigit(b byte) bool { return b >= '0' && b <= '9' }
 
-// isControl reports whether a byte is not allowed in the value of a field or in a reason.
+// isControl reports whether a byte is a control character that field values and reason phrases must
+// not hold.
 func isControl(b byte) bool { return b < ' ' && b != '\t' || b == 0x7f }
--- a/internal/httpwire/checker_test.go
+++ b/internal/httpwire/checker_test.go
@@ -15,10 +15,10 @@
 // Guards against errors that don't say what is wrong with an answer.
 func TestErrorNamesTheViolation(t *testing.T) {
 	for answer, want := range map[string]string{
-		"HTTP/1.1 000 X":                        `malformed response: the status code is not from 100 to 599: "HTTP/1.1 000"`,
-		"HTTP/1.1 200 OK\r\nX : y\r\n":          `malformed response: the name of a field is no token: "X "`,
-		"HTTP/1.1 200 OK\r\nX: \x01\r\n":        `malformed response: control byte in the value of a field: "X: \x01"`,
-		"HTTP/1.1 200 OK\r\n" + "A: b\r\n C: d": `malformed response: blank at the start of a field line: " "`,
+		"HTTP/1.1 000 X":                        `malformed response: status code is not from 100 to 599: "HTTP/1.1 000"`,
+		"HTTP/1.1 200 OK\r\nX : y\r\n":          `malformed response: invalid field name: "X "`,
+		"HTTP/1.1 200 OK\r\nX: \x01\r\n":        `malformed response: control character in a field value: "X: \x01"`,
+		"HTTP/1.1 200 OK\r\n" + "A: b\r\n C: d": `malformed response: whitespace before a field name: " "`,
 	} {
 		reader := NewReader(strings.NewReader(answer))
 		_, err := reader.ReadResponse(bufio.NewReader(reader), &http.Request{Method: http.MethodGet})
--- a/internal/httpwire/reader.go
+++ b/internal/httpwire/reader.go
@@ -7,11 +7,12 @@
 	"sync/atomic"
 )
 
-// Reader reads responses from a connection. Its methods must not be called at the same time.
+// Reader reads responses from a connection. It is not safe for concurrent use.
 type Reader struct {
 	raw     io.Reader
 	checker checker
-	// violation is the first one in the current response; nil for none.
+	// violation is the first one in the current response; nil for none. A Transport also loads
+	// it in other goroutines.
 	violation atomic.Pointer[MalformedError]
 }
 
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -111,8 +111,9 @@
 }
 
 // Probe sends a health check. The lease allows a call on the same connection; it is nil
-// if that connection can't be reused. If the health check fails on an idle connection without a
-// malformed answer, it is sent once more on a new one. It fails with ErrLeftAlone if the server wants no requests.
+// if that connection can't be reused. If the health check fails on an idle connection, it
+// is sent once more on a new one, unless the answer was malformed. It fails with ErrLeftAlone
+// if the server wants no requests.
 func (s *Server) Probe(ctx context.Context, timeout time.Duration) (Health, *Lease, error) {
 	if !s.options.Standing.Available(time.Now()) {
 		return Health{}, nil, errors.WithStack(ErrLeftAlone)
--- a/proof/malformed_test.go
+++ b/proof/malformed_test.go
@@ -114,7 +114,7 @@
 	}
 	log, err := os.ReadFile(f.logs[0])
 	assert.NilError(t, err)
-	for _, want := range []string{"the status code is not from 100 to 599", "the name of a field is no token"} {
+	for _, want := range []string{"status code is not from 100 to 599", "invalid field name"} {
 		assert.Check(t, strings.Contains(string(log), "health check failed: read the answer: malformed response: "+want), "no log line of: %s", want)
 	}
 	assert.Check(t, strings.Contains(string(log), "server=i-0"))
