servers: Log malformed answers to calls and probes

Operators: an entry left no line on why the calls at a server failed. Cause: the reason of a failed attempt goes into its span only, that of a probe into the debug log. Change: a line with the server, its address and the violation, for malformed answers. Evidence: read in the output of TestAnswerWithAMalformedFieldIsMalformed; no test reads it.

--- a/internal/supervisor/servers/attempt.go
+++ b/internal/supervisor/servers/attempt.go
@@ -88,6 +88,7 @@
 		s.pool.dropUnansweredSince(sentAt)
 	}
 	if r.err != nil {
+		s.logMalformed("call", r.err)
 		if defect.On("connection-reuse") {
 			_ = c.tcp.SetDeadline(time.Time{})
 			s.pool.put(c)
--- a/internal/supervisor/servers/learn.go
+++ b/internal/supervisor/servers/learn.go
@@ -6,6 +6,7 @@
 
 	"github.com/baobabstack/baobabstack/internal/call"
 	"github.com/baobabstack/baobabstack/internal/defect"
+	"github.com/baobabstack/baobabstack/internal/httpwire"
 	"github.com/baobabstack/baobabstack/internal/journal"
 	"github.com/baobabstack/baobabstack/internal/logs"
 	"github.com/baobabstack/baobabstack/internal/policy/pick"
@@ -96,6 +97,13 @@
 	}
 }
 
+// logMalformed writes a malformed answer to the log, and no other error.
+func (s *Server) logMalformed(to string, err error) {
+	if httpwire.IsMalformed(err) {
+		log.Warnf("%s to server %s at %s failed: %v", to, s.Info.ID, s.Info.Address, err)
+	}
+}
+
 // logDecision writes a decision about the server to the log and the journal.
 func (s *Server) logDecision(decision, reason string) {
 	log.Infof("%s %s: %s", decision, s.Info.ID, reason)
--- a/internal/supervisor/servers/probe.go
+++ b/internal/supervisor/servers/probe.go
@@ -46,6 +46,7 @@
 	}
 	r := c.exchange(ctx, newProbe(s.Info.Address), func() {})
 	if r.err != nil {
+		s.logMalformed("probe", r.err)
 		s.pool.discard(c)
 		return r.err
 	}
