proof: Take the platform's names of fields from platform/

Cause: the tests of malformed answers wrote them out. Change: they take them from platform.Dialect, like the other tests. Result: TestGatewaysTakeNothingFromAMalformedHealthCheck and TestGatewaysPassOnNoAnswerWithAMalformedEnd pass.

--- a/proof/malformed_test.go
+++ b/proof/malformed_test.go
@@ -57,7 +57,9 @@
 func testGatewaysWithMalformedAnswers(t *testing.T, answers []malformedAnswer) {
 	t.Helper()
 	f := startGatewayFleet(t, gatewayFleetOptions{Timeout: malformedDeadline})
-	const told = "Attempt-Id: " + fake.RawID + "\r\nServer-Signature: y\r\nServer-Leaving: 1\r\nRetry-After: 60\r\nNot-Executed: 1\r\nServer-Load: 9,9,9\r\n"
+	names := platform.Dialect()
+	told := names.CallID + ": " + fake.RawID + "\r\n" + names.Signature + ": y\r\n" + names.Leaving + ": 1\r\nRetry-After: 60\r\n" +
+		names.NotRun + ": 1\r\n" + names.Load + ": 9,9,9\r\n"
 	for _, m := range answers {
 		t.Run(m.name, func(t *testing.T) {
 			for _, s := range f.servers {
@@ -99,7 +101,8 @@
 // server would be left alone for good, or be taken for one that has room.
 func TestGatewaysTakeNothingFromAMalformedHealthCheck(t *testing.T) {
 	f := startGatewayFleet(t, gatewayFleetOptions{Timeout: malformedDeadline})
-	const told = "Instance-Id: i-0\r\nServer-Leaving: 1\r\nRetry-After: 60\r\nServer-Load: 0,0,99\r\n"
+	names := platform.Dialect()
+	told := names.ServerID + ": i-0\r\n" + names.Leaving + ": 1\r\nRetry-After: 60\r\n" + names.Load + ": 0,0,99\r\n"
 	for _, m := range append(malformedStatuses[:1:1], malformedFields[0], malformedEnds[0]) {
 		f.servers[0].AnswerChecksRaw(m.with(told))
 		for range 10 {
