peers: Forward field values that are no UTF-8

Callers saw: a call with a ticket that reaches another entry than the ticket's owner got unknown, 502, if a field value of the server's answer held a byte that is no UTF-8 (caf\xe9), which HTTP allows. The call had run. The same for such a byte in a field of the call itself, which then had not even been sent.

Cause: Header.value in peers.proto was a string, and gRPC does not encode strings that are no UTF-8: "grpc: error while marshaling: string field contains invalid UTF-8".

Change: the field is of type bytes, which has the same encoding, so entries of both versions understand each other; an older one still loses such values.

--- a/internal/supervisor/peers/forward.go
+++ b/internal/supervisor/peers/forward.go
@@ -162,7 +162,7 @@
 	var lines []*peerwire.Header
 	for name, values := range h {
 		for _, value := range values {
-			lines = append(lines, &peerwire.Header{Name: name, Value: value})
+			lines = append(lines, &peerwire.Header{Name: name, Value: []byte(value)})
 		}
 	}
 	return lines
@@ -171,7 +171,7 @@
 func headerOf(lines []*peerwire.Header) http.Header {
 	h := make(http.Header, len(lines))
 	for _, line := range lines {
-		h.Add(line.GetName(), line.GetValue())
+		h.Add(line.GetName(), string(line.GetValue()))
 	}
 	return h
 }
--- a/internal/supervisor/peers/owned.go
+++ b/internal/supervisor/peers/owned.go
@@ -99,7 +99,7 @@
 	}
 	if a.RetryAfter > 0 {
 		seconds := strconv.Itoa(int((a.RetryAfter + time.Second - 1) / time.Second))
-		reply.Headers = append(reply.Headers, &peerwire.Header{Name: "Retry-After", Value: seconds})
+		reply.Headers = append(reply.Headers, &peerwire.Header{Name: "Retry-After", Value: []byte(seconds)})
 	}
 	return reply
 }
