--- a/review/standin-3/drill.go
+++ b/review/standin-3/drill.go
@@ -6,7 +6,10 @@
 	"time"
 )
 
-func init() { cases["drill"] = drill }
+func init() {
+	cases["drill"] = func(b *bench) error { return drill(b, false) }
+	cases["reused"] = func(b *bench) error { return drill(b, true) }
+}
 
 type routeText map[string]any
 
@@ -38,7 +41,10 @@
 // drill plays a drill of the platform's store: it is away for a moment and comes back from a
 // copy some seconds old. Long after that the operator moves a route to another service, drops
 // one and adds one. The check is the rule CONFIG.
-func drill(b *bench) error {
+//
+// With reused set, version 3 comes as soon as the store is back, and the servers write so much that
+// the lost revisions have been given out again before a gateway asks: no watch gets 410.
+func drill(b *bench, reused bool) error {
 	var err error
 	zones := []string{"modjo", "adama", "addis-ab"}
 	if b.all, err = newGateways(b.dir, b.store.address, zones); err != nil {
@@ -111,7 +117,9 @@
 		time.Sleep(storeAway)
 		b.store.comeBack(&old)
 		b.note("store     back from the copy, which is %s old, at revision %d, in a new era", copyAge, b.store.revision())
-		time.Sleep(300 * time.Millisecond)
+		if !reused {
+			time.Sleep(300 * time.Millisecond)
+		}
 		for _, s := range added { // what the servers and the operator wrote is written again
 			write(s, 0)
 		}
@@ -119,22 +127,34 @@
 	} else {
 		time.Sleep(storeAway)
 	}
+	if reused {
+		configure("", 3, three)
+		for _, s := range added { // these become cold again for a moment, which they write
+			write(s, 200*time.Millisecond)
+			write(s, 0)
+		}
+	}
 	time.Sleep(2*boundContact + 2*time.Second)
 
-	b.probe("before version 3", "move", "reposition")
-	configure("", 3, three)
-	time.Sleep(boundConfigApply + 500*time.Millisecond)
+	if !reused {
+		b.probe("before version 3", false)
+		configure("", 3, three)
+		time.Sleep(boundConfigApply + 500*time.Millisecond)
+	}
 	for range 8 {
-		b.probe("after version 3", "move", "reposition-new")
+		b.probe("after version 3", true)
 		time.Sleep(500 * time.Millisecond)
 	}
 	return nil
 }
 
-// probe sends a request to each gateway on each route that version 3 changes. The service that
-// is to run requests on the route /move/ tells which version is in force.
-func (b *bench) probe(when, _, service string) {
-	after := service == "reposition-new"
+// probe sends a request to each gateway on each route that version 3 changes. The flag says
+// whether that version must be in force.
+func (b *bench) probe(when string, after bool) {
+	service := "reposition"
+	if after {
+		service = "reposition-new"
+	}
 	for _, g := range b.all {
 		a := send(g.front(), "POST", host, "/move/box", "move box 7", 1500*time.Millisecond)
 		ran := b.ranAt(a.id)
--- a/review/standin-3/crowd.go
+++ b/review/standin-3/pieces.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"io"
 	"net"
 	"os"
 	"strconv"
@@ -13,16 +12,10 @@
 	"time"
 )
 
-func init() {
-	cases["bodies"] = wholeBodies
-	cases["pieces"] = pieces
-}
+func init() { cases["pieces"] = pieces }
 
-// What the site abl-gw gives a machine.
-const (
-	memoryMB = 284
-	maxFDs   = 4100
-)
+// maxFDs is the number of descriptors that the settings give a machine.
+const maxFDs = 4100
 
 // ordinaryCallers is the number of ordinary callers, more than the seven that RECOVER asks for.
 const ordinaryCallers = 10
@@ -39,28 +32,19 @@
 	return 0
 }
 
-// startOne starts one gateway in front of the servers of the services boxfinder and
-// ledger-archive, as the site abl-gw has them.
+// startOne starts one gateway in front of the servers of the service boxfinder.
 func (b *bench) startOne() error {
 	var err error
 	if b.all, err = newGateways(b.dir, b.store.address, []string{"modjo"}); err != nil {
 		return err
 	}
-	history := route("history", host, "/history/", "safe", "ledger-archive", 2)
-	history["timeout"], history["target_latency"] = "2000ms", "1000ms"
-	b.store.put("op/config", configuration(1, []string{"boxfinder", "ledger-archive"},
-		route("check", host, "/check/", "safe", "boxfinder", 2), history))
-	for service, kind := range map[string]struct {
-		servers int
-		work    time.Duration
-	}{"boxfinder": {15, 160 * time.Millisecond}, "ledger-archive": {13, 400 * time.Millisecond}} {
-		for n := range kind.servers {
-			s, err := startBackend(fmt.Sprintf("i-%s-%d", service, n), service, "modjo", "127.0.0.1:0", kind.work, func(run) {})
-			if err != nil {
-				return err
-			}
-			b.store.put(s.key(), s.entry(0))
+	b.store.put("op/config", configuration(1, []string{"boxfinder"}, route("check", host, "/check/", "safe", "boxfinder", 2)))
+	for n := range 15 {
+		s, err := startBackend(fmt.Sprintf("i-boxfinder-%d", n), "boxfinder", "modjo", "127.0.0.1:0", 160*time.Millisecond, func(run) {})
+		if err != nil {
+			return err
 		}
+		b.store.put(s.key(), s.entry(0))
 	}
 	return b.startAll()
 }
@@ -82,70 +66,6 @@
 	return &group
 }
 
-// wholeBodies plays callers that send many bodies of legal size at once: each sends whole ones
-// behind each other on its connection, and one that stops just short of its end, and stays. The
-// check is that the process lives and stays within the memory of its machine.
-func wholeBodies(b *bench) error {
-	const callers, whole, bodyBytes = 1500, 30, 16_000
-	if err := b.startOne(); err != nil {
-		return err
-	}
-	g := b.all[0]
-	pid := g.cmd.Process.Pid
-	var stop atomic.Bool
-	var served atomic.Int64
-	group := b.ordinary(&stop, func(a attempt) {
-		if a.status == 200 {
-			served.Add(1)
-		}
-	})
-	time.Sleep(2 * time.Second)
-	var opened, sent atomic.Int64
-	if b.trouble {
-		body := strings.Repeat("b", bodyBytes)
-		for range callers {
-			group.Go(func() {
-				c, err := net.DialTimeout("tcp", g.front(), 5*time.Second)
-				if err != nil {
-					return
-				}
-				defer c.Close()
-				opened.Add(1)
-				var out bytes.Buffer
-				for n := range whole + 1 {
-					fmt.Fprintf(&out, "POST /history/box HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: 3000\r\nContent-Length: %d\r\n\r\n", host, newID(), bodyBytes)
-					if n < whole {
-						out.WriteString(body)
-					} else {
-						out.WriteString(body[1:])
-					}
-				}
-				_ = c.SetDeadline(time.Now().Add(10 * time.Second))
-				go func() {
-					n, _ := c.Write(out.Bytes())
-					sent.Add(int64(n))
-				}()
-				_, _ = io.Copy(io.Discard, c)
-			})
-		}
-	}
-	for range 22 {
-		time.Sleep(500 * time.Millisecond)
-		b.note("memory    %.0f MB now, %.0f MB at most, of %d MB; process ended: %v", statusMB(pid, "VmRSS"), statusMB(pid, "VmHWM"), memoryMB, g.ended())
-	}
-	stop.Store(true)
-	group.Wait()
-	b.note("crowd     %d connections, %d MB sent", opened.Load(), sent.Load()>>20)
-	if b.trouble && opened.Load() < callers/2 {
-		return fmt.Errorf("only %d connections could be opened", opened.Load())
-	}
-	b.note("ordinary  %d answers with 200", served.Load())
-	if peak := statusMB(pid, "VmHWM"); peak > memoryMB || g.ended() {
-		b.violation("the process used %.0f MB on a machine with %d MB (ended by itself: %v): the platform kills it", peak, memoryMB, g.ended())
-	}
-	return nil
-}
-
 // pieces plays callers that send bodies of legal size piece by piece and stay. The check is
 // that a gateway which says that it is ready takes new connections of ordinary callers.
 func pieces(b *bench) error {
