discovery: Order what is known by the store's era and its revision

Cause: gateways took the store's revision for one that only rises. The watch from the lost revision got 410, and the listing that follows was ignored, since its revision was lower (`ignored a full batch older than the state batch=7 revision=20`). Items of the listing would have been ignored one by one for the same reason.

Change: a revision is an era and a number, compared in that order, as a type of its own, so that no place can compare the number alone. Updates between gateways carry the era, and a change of era is sent to followers as the whole state.

It works because the listing of the new era is newer than all of the older one, whatever its number. Other tests change in how they write a revision only.

--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -20,12 +20,12 @@
 	Name() string
 	// Direct reports whether the source is the store itself.
 	Direct() bool
-	// Run delivers a full batch and then each change. If resume is not 0, it is the
+	// Run delivers a full batch and then each change. If resume is not zero, it is the
 	// revision that the receiver has reached: a direct source then delivers only the
 	// changes after that revision, or fails with ErrHistoryLost if it no longer has
-	// them. A batch without items confirms that there is nothing newer. Run returns
-	// when the context ends or the source fails.
-	Run(ctx context.Context, resume uint64, deliver func(Batch)) error
+	// them. A batch without items confirms that there is nothing newer. A new era begins
+	// with a full batch. Run returns when the context ends or the source fails.
+	Run(ctx context.Context, resume Revision, deliver func(Batch)) error
 }
 
 // Store is the platform's store as a source.
@@ -93,7 +93,7 @@
 	// Evacuated holds the data centres whose servers are to get nothing.
 	Evacuated map[string]bool
 	// Revision is the store's revision.
-	Revision uint64
+	Revision Revision
 }
 
 // Roles says whether a gateway reads the store, and which gateways it may follow.
@@ -200,7 +200,7 @@
 			}
 		case <-tick.C:
 			now := time.Now()
-			f.publish(f.state.Expire(now))
+			f.publish(f.state.Expire(now), false)
 			f.retainsUnlisted.Store(f.state.RetainsUnlisted(now))
 			f.chooseSource(ctx, now)
 			tick.Reset(f.checkInterval())
@@ -243,7 +243,7 @@
 }
 
 func (f *Follower) startSession(ctx context.Context, source Source, now time.Time) {
-	var resume uint64
+	var resume Revision
 	if s := f.session; s != nil {
 		s.cancel()
 	}
@@ -300,7 +300,7 @@
 	f.resumable = true
 	confirmed := f.confirmedAt.Load()
 	if !f.apply(e.batch, now) && (s.source.Direct() || f.confirmedAt.Load()-confirmed > int64(f.options.Timing.Heartbeat/2)) {
-		f.broadcast(Batch{}) // tells subscribers at once that the store has confirmed the state
+		f.confirm()
 	}
 	f.checkSourceAge(ctx, s, e.batch.Age, now)
 }
@@ -320,11 +320,17 @@
 
 // apply applies a batch to the state and reports whether it changed anything.
 func (f *Follower) apply(b Batch, now time.Time) bool {
+	era := f.state.Revision().Era
 	changed := f.state.Apply(b, now)
 	f.retainsUnlisted.Store(f.state.RetainsUnlisted(now))
-	f.confirmedAt.Store(max(f.confirmedAt.Load(), int64(f.clock.Now()-b.Age)))
-	f.publish(changed)
-	return len(changed) > 0
+	newEra := f.state.Revision().Era != era
+	confirmed := int64(f.clock.Now() - b.Age)
+	if !newEra {
+		confirmed = max(f.confirmedAt.Load(), confirmed)
+	}
+	f.confirmedAt.Store(confirmed)
+	f.publish(changed, newEra)
+	return newEra || len(changed) > 0
 }
 
 func (f *Follower) sessionFailed(s *session, err error, now time.Time) {
@@ -348,7 +354,7 @@
 	f.storeFailedAt = now
 	f.storeBackoff = min(f.storeBackoff*2, storeBackoffMax)
 	f.setStoreReachable(false, now)
-	f.broadcast(Batch{}) // makes followers see StoreUnreachable and turn to another source at once
+	f.confirm() // makes followers see StoreUnreachable and turn to another source at once
 }
 
 // setStoreReachable records and reports whether the store answers this gateway.
@@ -388,20 +394,31 @@
 	f.storeBackoff = storeBackoffMin
 }
 
-// publish passes changes on to the process and to subscribers.
-func (f *Follower) publish(changed []Item) {
-	if len(changed) == 0 {
+// publish passes changes on to the process and to subscribers. Subscribers get the whole state
+// in a new era: they may hold items of an older one that this gateway never had.
+func (f *Follower) publish(changed []Item, newEra bool) {
+	if len(changed) == 0 && !newEra {
 		return
 	}
 	if f.state.Known() {
 		f.options.Publish(View{Table: f.state.Table(), Servers: f.state.Servers(), Evacuated: f.state.Evacuated(), Revision: f.state.Revision()})
 	}
+	full := f.state.Full()
 	f.mu.Lock()
-	f.full = f.state.Full()
+	f.full = full
 	f.mu.Unlock()
+	if newEra {
+		f.broadcast(full)
+		return
+	}
 	f.broadcast(Batch{Items: changed, Revision: f.state.Revision()})
 }
 
+// confirm tells subscribers that the store has confirmed the state, or that it no longer answers.
+func (f *Follower) confirm() {
+	f.broadcast(Batch{Revision: Revision{Era: f.state.Revision().Era}})
+}
+
 // broadcast sends a batch to all subscribers and drops those whose buffer is full.
 func (f *Follower) broadcast(b Batch) {
 	f.mu.Lock()
--- a/internal/discovery/follower_test.go
+++ b/internal/discovery/follower_test.go
@@ -16,7 +16,7 @@
 	name     string
 	direct   bool
 	mu       sync.Mutex
-	runs     []uint64 // the revisions that the runs were to resume from
+	runs     []Revision // that the runs were to resume from
 	full     Batch
 	failure  error
 	failures chan error
@@ -34,7 +34,7 @@
 func newFakeSource(name string, direct bool) *fakeSource {
 	return &fakeSource{
 		name: name, direct: direct, failures: make(chan error, 1), changes: make(chan Batch, 8),
-		full: Batch{Full: true, Revision: 10, Items: []Item{put("config", "3", 2), put("s/a", "up", 4)}},
+		full: Batch{Full: true, Revision: at(10), Items: []Item{put("config", "3", 2), put("s/a", "up", 4)}},
 	}
 }
 
@@ -48,7 +48,7 @@
 	return s.full, s.failure
 }
 
-func (s *fakeSource) Run(ctx context.Context, resume uint64, deliver func(Batch)) error {
+func (s *fakeSource) Run(ctx context.Context, resume Revision, deliver func(Batch)) error {
 	s.mu.Lock()
 	s.runs = append(s.runs, resume)
 	failure, full, failures := s.failure, s.full, s.failures
@@ -61,7 +61,7 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	if resume == 0 {
+	if resume == (Revision{}) {
 		deliver(full)
 	}
 	for {
@@ -88,10 +88,10 @@
 	}
 }
 
-func (s *fakeSource) resumeRevisions() []uint64 {
+func (s *fakeSource) resumeRevisions() []Revision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append([]uint64(nil), s.runs...)
+	return append([]Revision(nil), s.runs...)
 }
 
 // harness runs a Follower and records what it reports.
@@ -160,7 +160,7 @@
 	store := newFakeSource("store", true)
 	h := startFollower(t, store, Roles{ReadsStore: true, Leader: true})
 	waitFor(t, "listed", func() bool { return h.servers() == 1 })
-	store.changes <- Batch{Revision: 11, Items: []Item{put("s/b", "up", 11)}}
+	store.changes <- Batch{Revision: at(11), Items: []Item{put("s/b", "up", 11)}}
 	waitFor(t, "changed", func() bool { return h.servers() == 2 })
 }
 
@@ -168,7 +168,7 @@
 	store, peer := newFakeSource("store", true), newFakeSource("peer", false)
 	h := startFollower(t, store, Roles{Sources: []Source{peer}})
 	waitFor(t, "listed", func() bool { return h.servers() == 1 && len(peer.resumeRevisions()) == 1 })
-	peer.changes <- Batch{Revision: 11, Items: []Item{put("s/b", "up", 11)}}
+	peer.changes <- Batch{Revision: at(11), Items: []Item{put("s/b", "up", 11)}}
 	waitFor(t, "changed", func() bool { return h.servers() == 2 })
 	assert.Equal(t, len(store.resumeRevisions()), 0)
 }
@@ -215,8 +215,8 @@
 	for _, test := range []struct {
 		name            string
 		retainsUnlisted bool
-		resume          uint64
-	}{{"nothing retained", false, 10}, {"servers retained", true, 0}} {
+		resume          Revision
+	}{{"nothing retained", false, at(10)}, {"servers retained", true, Revision{}}} {
 		t.Run(test.name, func(t *testing.T) {
 			store, peer := newFakeSource("store", true), newFakeSource("peer", false)
 			peer.retainsUnlisted, peer.full.RetainsUnlisted = test.retainsUnlisted, test.retainsUnlisted
@@ -282,7 +282,7 @@
 	store.fail(nil)
 	waitFor(t, "resumed", func() bool {
 		runs := store.resumeRevisions()
-		return runs[len(runs)-1] == 10
+		return runs[len(runs)-1] == at(10)
 	})
 }
 
@@ -291,7 +291,7 @@
 	h := startFollower(t, store, Roles{ReadsStore: true, Leader: true})
 	waitFor(t, "listed", func() bool { return h.servers() == 1 && len(store.resumeRevisions()) == 1 })
 	store.mu.Lock()
-	store.full = Batch{Full: true, Revision: 30, Items: []Item{put("config", "3", 2), put("s/x", "up", 29), put("s/y", "up", 30)}}
+	store.full = Batch{Full: true, Revision: at(30), Items: []Item{put("config", "3", 2), put("s/x", "up", 29), put("s/y", "up", 30)}}
 	store.mu.Unlock()
 	store.fail(ErrHistoryLost)
 	store.fail(nil)
@@ -379,7 +379,7 @@
 // snapshots again and again.
 func TestEmptySnapshotIsNotRepeatedSoon(t *testing.T) {
 	store, peer := newFakeSource("store", true), newFakeSource("peer", false)
-	store.full = Batch{Full: true, Revision: 1}
+	store.full = Batch{Full: true, Revision: at(1)}
 	peer.failure = errDown
 	startFollower(t, store, Roles{Sources: []Source{peer}})
 	time.Sleep(snapshotBackoffMax / 2)
--- a/internal/discovery/state.go
+++ b/internal/discovery/state.go
@@ -36,7 +36,7 @@
 	Key   string
 	Value []byte
 	// Revision is the store's revision at the key's last change.
-	Revision uint64
+	Revision Revision
 	// Deleted says that the key was deleted.
 	Deleted bool
 }
@@ -46,8 +46,9 @@
 	// Full says that Items holds all keys, rather than changes.
 	Full  bool
 	Items []Item
-	// Revision is the store's revision that the receiver reaches by applying the batch.
-	Revision uint64
+	// Revision is the store's revision that the receiver reaches by applying the batch. Its
+	// number is 0 if the batch changes nothing; its era always holds.
+	Revision Revision
 	// RetainsUnlisted says that the source may hold servers that the store no longer
 	// lists.
 	RetainsUnlisted bool
@@ -84,7 +85,7 @@
 	evacuations  map[string]string
 	table        *routing.Table
 	listReceived bool // a full batch was applied
-	revision     uint64
+	revision     Revision
 	// graceUntil is recoveryGrace after the latest recovery of the store. missing holds
 	// the keys of servers that the store deleted before graceUntil; they are kept until
 	// then.
@@ -112,7 +113,7 @@
 // Apply applies a batch and returns the changes to pass on to followers. It ignores a
 // full batch that is older than the state.
 func (s *State) Apply(b Batch, now time.Time) []Item {
-	if b.Full && b.Revision < s.revision {
+	if b.Full && b.Revision.Before(s.revision) {
 		s.log.With("revision", s.revision).With("batch", b.Revision).Infof("ignored a full batch older than the state")
 		return nil
 	}
@@ -129,7 +130,7 @@
 		}
 		s.listReceived = true
 	}
-	s.revision = max(s.revision, b.Revision)
+	s.revision = latest(s.revision, b.Revision)
 	s.sourceRetains = b.RetainsUnlisted
 	return changed
 }
@@ -156,7 +157,7 @@
 // applyItem applies one item and reports whether it changed anything.
 func (s *State) applyItem(item Item, now time.Time) bool {
 	old, known := s.items[item.Key]
-	if known && old.Revision >= item.Revision {
+	if known && !old.Revision.Before(item.Revision) {
 		return false
 	}
 	if item.Deleted {
@@ -250,7 +251,7 @@
 	}
 	var changed []Item
 	for _, key := range slices.Sorted(maps.Keys(s.missing)) {
-		gone := Item{Key: key, Revision: max(s.revision, s.items[key].Revision+1), Deleted: true}
+		gone := Item{Key: key, Revision: s.afterItem(key), Deleted: true}
 		if s.remove(gone, now) {
 			changed = append(changed, gone)
 		}
@@ -259,6 +260,13 @@
 	return changed
 }
 
+// afterItem returns the state's revision, or a later one if that of the item is not older.
+func (s *State) afterItem(key string) Revision {
+	next := s.items[key].Revision
+	next.Number++
+	return latest(s.revision, next)
+}
+
 // RetainsUnlisted reports whether the state, or the state of a gateway that follows this
 // one, may hold servers that the store no longer listed at the state's revision. A watch
 // from that revision would not report the deletion of such servers.
@@ -278,7 +286,7 @@
 func (s *State) Table() *routing.Table { return s.table }
 
 // Revision returns the store's revision up to which the state is current.
-func (s *State) Revision() uint64 { return s.revision }
+func (s *State) Revision() Revision { return s.revision }
 
 // Evacuated returns the data centres whose servers are to get nothing.
 func (s *State) Evacuated() map[string]bool {
--- a/internal/discovery/state_test.go
+++ b/internal/discovery/state_test.go
@@ -53,8 +53,11 @@
 	}
 }
 
+// at returns a revision of a store that has not come back from a copy.
+func at(number uint64) Revision { return Revision{Number: number} }
+
 func put(key, value string, revision uint64) Item {
-	return Item{Key: key, Value: []byte(value), Revision: revision}
+	return Item{Key: key, Value: []byte(value), Revision: at(revision)}
 }
 
 // serverIDs returns the sorted ids of a state's servers, those that are leaving with an
@@ -79,41 +82,41 @@
 func newListedState(t *testing.T) *State {
 	t.Helper()
 	s := NewState(textDecoder{})
-	s.Apply(Batch{Full: true, Revision: 10, Items: []Item{put("config", "3", 2), put("s/a", "up", 4), put("s/b", "up", 5)}}, startTime)
+	s.Apply(Batch{Full: true, Revision: at(10), Items: []Item{put("config", "3", 2), put("s/a", "up", 4), put("s/b", "up", 5)}}, startTime)
 	assert.Assert(t, s.Known())
 	return s
 }
 
 func TestChangesAreAppliedInOrderOfTheirRevision(t *testing.T) {
 	s := newListedState(t)
-	changed := s.Apply(Batch{Revision: 13, Items: []Item{put("s/a", "leaving", 12), put("s/a", "up", 11), put("s/c", "up", 13)}}, startTime)
+	changed := s.Apply(Batch{Revision: at(13), Items: []Item{put("s/a", "leaving", 12), put("s/a", "up", 11), put("s/c", "up", 13)}}, startTime)
 	assert.Equal(t, len(changed), 2)
 	assert.Equal(t, serverIDs(s), "a! b c")
-	s.Apply(Batch{Revision: 14, Items: []Item{{Key: "s/b", Revision: 14, Deleted: true}}}, startTime)
+	s.Apply(Batch{Revision: at(14), Items: []Item{{Key: "s/b", Revision: at(14), Deleted: true}}}, startTime)
 	assert.Equal(t, serverIDs(s), "a! c")
-	assert.Equal(t, s.Revision(), uint64(14))
+	assert.Equal(t, s.Revision(), at(14))
 }
 
 func TestOlderFullBatchIsIgnored(t *testing.T) {
 	s := newListedState(t)
-	s.Apply(Batch{Revision: 20, Items: []Item{put("s/c", "up", 20)}}, startTime)
-	assert.Equal(t, len(s.Apply(Batch{Full: true, Revision: 15, Items: []Item{put("s/a", "up", 4)}}, startTime)), 0)
+	s.Apply(Batch{Revision: at(20), Items: []Item{put("s/c", "up", 20)}}, startTime)
+	assert.Equal(t, len(s.Apply(Batch{Full: true, Revision: at(15), Items: []Item{put("s/a", "up", 4)}}, startTime)), 0)
 	assert.Equal(t, serverIDs(s), "a b c")
 }
 
 func TestServerMissingFromAFullBatchIsRemoved(t *testing.T) {
 	s := newListedState(t)
-	changed := s.Apply(Batch{Full: true, Revision: 30, Items: []Item{put("config", "3", 2), put("s/b", "up", 5)}}, startTime)
+	changed := s.Apply(Batch{Full: true, Revision: at(30), Items: []Item{put("config", "3", 2), put("s/b", "up", 5)}}, startTime)
 	assert.Equal(t, serverIDs(s), "b")
-	assert.DeepEqual(t, changed, []Item{{Key: "s/a", Revision: 30, Deleted: true}})
+	assert.DeepEqual(t, changed, []Item{{Key: "s/a", Revision: at(30), Deleted: true}})
 }
 
 func TestServerThatExpiredInAnOutageIsKeptForRecoveryGrace(t *testing.T) {
 	s := newListedState(t)
 	s.StoreRecovered(startTime)
-	s.Apply(Batch{Revision: 12, Items: []Item{{Key: "s/a", Revision: 11, Deleted: true}, {Key: "s/b", Revision: 12, Deleted: true}}}, startTime)
+	s.Apply(Batch{Revision: at(12), Items: []Item{{Key: "s/a", Revision: at(11), Deleted: true}, {Key: "s/b", Revision: at(12), Deleted: true}}}, startTime)
 	assert.Equal(t, serverIDs(s), "a b")
-	s.Apply(Batch{Revision: 13, Items: []Item{put("s/b", "up", 13)}}, startTime.Add(time.Second))
+	s.Apply(Batch{Revision: at(13), Items: []Item{put("s/b", "up", 13)}}, startTime.Add(time.Second))
 	assert.Equal(t, len(s.Expire(startTime.Add(time.Second))), 0)
 	changed := s.Expire(startTime.Add(recoveryGrace))
 	assert.Equal(t, serverIDs(s), "b")
@@ -122,23 +125,23 @@
 
 func TestLeavingServerIsNotKeptAfterAnOutage(t *testing.T) {
 	s := newListedState(t)
-	s.Apply(Batch{Revision: 11, Items: []Item{put("s/a", "leaving", 11)}}, startTime)
+	s.Apply(Batch{Revision: at(11), Items: []Item{put("s/a", "leaving", 11)}}, startTime)
 	s.StoreRecovered(startTime)
-	s.Apply(Batch{Revision: 12, Items: []Item{{Key: "s/a", Revision: 12, Deleted: true}}}, startTime)
+	s.Apply(Batch{Revision: at(12), Items: []Item{{Key: "s/a", Revision: at(12), Deleted: true}}}, startTime)
 	assert.Equal(t, serverIDs(s), "b")
 }
 
 func TestInvalidRecordIsNoServer(t *testing.T) {
 	s := newListedState(t)
-	s.Apply(Batch{Revision: 11, Items: []Item{put("s/a", "junk", 11), put("other", "x", 11)}}, startTime)
+	s.Apply(Batch{Revision: at(11), Items: []Item{put("s/a", "junk", 11), put("other", "x", 11)}}, startTime)
 	assert.Equal(t, serverIDs(s), "b")
 }
 
 func TestInvalidConfigurationLeavesThePreviousOneInForce(t *testing.T) {
 	s := newListedState(t)
-	s.Apply(Batch{Revision: 11, Items: []Item{put("config", "four", 11)}}, startTime)
+	s.Apply(Batch{Revision: at(11), Items: []Item{put("config", "four", 11)}}, startTime)
 	assert.Equal(t, s.Table().Version, uint64(3))
-	s.Apply(Batch{Revision: 12, Items: []Item{put("config", "5", 12)}}, startTime)
+	s.Apply(Batch{Revision: at(12), Items: []Item{put("config", "5", 12)}}, startTime)
 	assert.Equal(t, s.Table().Version, uint64(5))
 }
 
@@ -150,7 +153,7 @@
 			version := rapid.Uint64Range(1, 20).Draw(t, "version")
 			revision := rapid.Uint64Range(1, 40).Draw(t, "revision")
 			s.Apply(Batch{
-				Full: rapid.Bool().Draw(t, "full"), Revision: revision,
+				Full: rapid.Bool().Draw(t, "full"), Revision: at(revision),
 				Items: []Item{put("config", strconv.FormatUint(version, 10), revision)},
 			}, startTime)
 			if s.Table() == nil {
@@ -170,10 +173,10 @@
 func TestRetainsUnlistedUntilRemovalsReachFollowers(t *testing.T) {
 	now := time.Unix(1000, 0)
 	s := NewState(textDecoder{})
-	s.Apply(Batch{Full: true, Revision: 5, Items: []Item{put("config", "1", 1), put("s/a", "up", 2)}}, now)
+	s.Apply(Batch{Full: true, Revision: at(5), Items: []Item{put("config", "1", 1), put("s/a", "up", 2)}}, now)
 	assert.Assert(t, !s.RetainsUnlisted(now))
 	s.StoreRecovered(now)
-	s.Apply(Batch{Revision: 6, Items: []Item{{Key: "s/a", Revision: 6, Deleted: true}}}, now)
+	s.Apply(Batch{Revision: at(6), Items: []Item{{Key: "s/a", Revision: at(6), Deleted: true}}}, now)
 	assert.Equal(t, serverIDs(s), "a")
 	assert.Assert(t, s.RetainsUnlisted(now))
 
@@ -191,16 +194,16 @@
 // list, by an entry that can't be read, or unnoticed when the watch was lost.
 func TestEvacuationHoldsUntilItsKeyIsGone(t *testing.T) {
 	s := newListedState(t)
-	changed := s.Apply(Batch{Revision: 13, Items: []Item{put("evacuate/x", "{}", 12), put("evacuate/", "{}", 13)}}, startTime)
+	changed := s.Apply(Batch{Revision: at(13), Items: []Item{put("evacuate/x", "{}", 12), put("evacuate/", "{}", 13)}}, startTime)
 	assert.Equal(t, len(changed), 2)
 	assert.DeepEqual(t, s.Evacuated(), map[string]bool{"x": true})
 	assert.Equal(t, serverIDs(s), "a b", "servers stay listed")
-	s.Apply(Batch{Full: true, Revision: 11, Items: []Item{put("config", "3", 2)}}, startTime)
+	s.Apply(Batch{Full: true, Revision: at(11), Items: []Item{put("config", "3", 2)}}, startTime)
 	assert.DeepEqual(t, s.Evacuated(), map[string]bool{"x": true}) // the list was older
 	s.StoreRecovered(startTime)
-	s.Apply(Batch{Full: true, Revision: 20, Items: []Item{put("config", "3", 2), put("s/a", "up", 4), put("s/b", "up", 5), put("evacuate/y", "{}", 18)}}, startTime)
+	s.Apply(Batch{Full: true, Revision: at(20), Items: []Item{put("config", "3", 2), put("s/a", "up", 4), put("s/b", "up", 5), put("evacuate/y", "{}", 18)}}, startTime)
 	assert.DeepEqual(t, s.Evacuated(), map[string]bool{"y": true}) // x was taken back while the watch was lost
-	s.Apply(Batch{Revision: 21, Items: []Item{{Key: "evacuate/y", Revision: 21, Deleted: true}}}, startTime)
+	s.Apply(Batch{Revision: at(21), Items: []Item{{Key: "evacuate/y", Revision: at(21), Deleted: true}}}, startTime)
 	assert.Equal(t, len(s.Evacuated()), 0)
 	assert.Equal(t, serverIDs(s), "a b")
 }
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -85,8 +85,9 @@
 	if err := stream.Send(s.update(full)); err != nil {
 		return err
 	}
+	era := full.Revision.Era // of what the follower has been sent
 	for {
-		b := discovery.Batch{}
+		b := discovery.Batch{Revision: discovery.Revision{Era: era}}
 		select {
 		case next, ok := <-changes:
 			if !ok {
@@ -101,6 +102,7 @@
 		if err := stream.Send(s.update(b)); err != nil {
 			return err
 		}
+		era = b.Revision.Era
 	}
 }
 
@@ -130,7 +132,7 @@
 // update returns the message for a batch. An empty batch makes a heartbeat.
 func (s *Service) update(b discovery.Batch) *fleetwire.Update {
 	age, known := s.feed.Age()
-	u := &fleetwire.Update{Full: b.Full && known, Revision: b.Revision, AgeMs: millis(age), Known: known, Lost: s.feed.StoreUnreachable(), Withholds: s.feed.RetainsUnlisted()}
+	u := &fleetwire.Update{Full: b.Full && known, Era: b.Revision.Era, Revision: b.Revision.Number, AgeMs: millis(age), Known: known, Lost: s.feed.StoreUnreachable(), Withholds: s.feed.RetainsUnlisted()}
 	u.Items, u.Packed = s.packer.pack(b)
 	return u
 }
@@ -155,7 +157,7 @@
 // Run delivers batches until the context ends, the stream fails or no update arrives
 // in time. If the stream fails or an update is late, Run marks the gateway as suspect,
 // but not if the gateway only has no store data yet.
-func (p Peer) Run(ctx context.Context, _ uint64, deliver func(discovery.Batch)) error {
+func (p Peer) Run(ctx context.Context, _ discovery.Revision, deliver func(discovery.Batch)) error {
 	conn, err := grpc.NewClient("passthrough:///"+p.target.Address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithNoProxy(),
 		grpc.WithReadBufferSize(bufferBytes), grpc.WithWriteBufferSize(bufferBytes),
@@ -230,10 +232,11 @@
 }
 
 func toBatch(u *fleetwire.Update) (discovery.Batch, error) {
-	b := discovery.Batch{Full: u.GetFull(), Revision: u.GetRevision(), RetainsUnlisted: u.GetWithholds(), Age: time.Duration(u.GetAgeMs()) * time.Millisecond}
+	b := discovery.Batch{Full: u.GetFull(), Revision: discovery.Revision{Era: u.GetEra(), Number: u.GetRevision()}, RetainsUnlisted: u.GetWithholds(), Age: time.Duration(u.GetAgeMs()) * time.Millisecond}
 	items, err := unpack(u)
 	for _, item := range items {
-		b.Items = append(b.Items, discovery.Item{Key: item.GetKey(), Value: item.GetValue(), Revision: item.GetRevision(), Deleted: item.GetDeleted()})
+		revision := discovery.Revision{Era: item.GetEra(), Number: item.GetRevision()}
+		b.Items = append(b.Items, discovery.Item{Key: item.GetKey(), Value: item.GetValue(), Revision: revision, Deleted: item.GetDeleted()})
 	}
 	return b, err
 }
--- a/internal/fleet/lost_source_test.go
+++ b/internal/fleet/lost_source_test.go
@@ -26,7 +26,7 @@
 	if item.Key != "config" {
 		return nil, false, nil
 	}
-	table, err := routing.NewTable(item.Revision, nil, nil, routing.Limits{})
+	table, err := routing.NewTable(item.Revision.Number, nil, nil, routing.Limits{})
 	return table, true, err
 }
 
@@ -47,7 +47,7 @@
 	return discovery.Batch{}, ctx.Err()
 }
 
-func (s *changedStore) Run(ctx context.Context, _ uint64, deliver func(discovery.Batch)) error {
+func (s *changedStore) Run(ctx context.Context, _ discovery.Revision, deliver func(discovery.Batch)) error {
 	deliver(s.change)
 	<-ctx.Done()
 	return ctx.Err()
@@ -79,7 +79,7 @@
 		Decoder: plainDecoder{}, Store: store, Timing: testTiming,
 		Roles:             func(now time.Time) discovery.Roles { return Sources(members, nil, testTiming, now) },
 		SetStoreReachable: func(bool, time.Time) {},
-		Publish:           func(v discovery.View) { revision.Store(v.Revision) },
+		Publish:           func(v discovery.View) { revision.Store(v.Revision.Number) },
 	})
 	go func() { _ = follower.Serve(ctx) }()
 	for begin := time.Now(); revision.Load() == 0; time.Sleep(time.Millisecond) {
@@ -95,7 +95,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	feed := &fakeFeed{
-		full:    discovery.Batch{Full: true, Revision: 7, Items: []discovery.Item{{Key: "config", Revision: 3}, {Key: "s", Revision: 7}}},
+		full:    discovery.Batch{Full: true, Revision: discovery.Revision{Number: 7}, Items: []discovery.Item{{Key: "config", Revision: discovery.Revision{Number: 3}}, {Key: "s", Revision: discovery.Revision{Number: 7}}}},
 		changes: make(chan discovery.Batch),
 	}
 	address, err := standin.FreeAddress()
@@ -104,7 +104,7 @@
 	relay, err := standin.NewRelay(address)
 	assert.NilError(t, err)
 	defer relay.Close()
-	store := &changedStore{change: discovery.Batch{Revision: 8, Items: []discovery.Item{{Key: "s", Value: []byte("leaving"), Revision: 8}}}}
+	store := &changedStore{change: discovery.Batch{Revision: discovery.Revision{Number: 8}, Items: []discovery.Item{{Key: "s", Value: []byte("leaving"), Revision: discovery.Revision{Number: 8}}}}}
 	revision := startFollower(ctx, t, relay.Address, store)
 	time.Sleep(testTiming.Heartbeat)
 
@@ -122,11 +122,11 @@
 // store made the full update larger than a message may be by default.
 func TestFollowerTakesAnUpdateOfManyMegabytes(t *testing.T) {
 	random := rand.NewChaCha8([32]byte{})
-	feed := &fakeFeed{full: discovery.Batch{Full: true, Revision: 7}, changes: make(chan discovery.Batch)}
+	feed := &fakeFeed{full: discovery.Batch{Full: true, Revision: discovery.Revision{Number: 7}}, changes: make(chan discovery.Batch)}
 	for i := range 8 {
 		value := make([]byte, 1<<20)
 		_, _ = random.Read(value)
-		feed.full.Items = append(feed.full.Items, discovery.Item{Key: strconv.Itoa(i), Value: value, Revision: 7})
+		feed.full.Items = append(feed.full.Items, discovery.Item{Key: strconv.Itoa(i), Value: value, Revision: discovery.Revision{Number: 7}})
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
@@ -138,7 +138,7 @@
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		items := 0
 		runCtx, stop := context.WithCancel(ctx)
-		err := Peer{members: NewMembers(testMember("f", "x", 1)), target: target, timing: testTiming}.Run(runCtx, 0, func(b discovery.Batch) {
+		err := Peer{members: NewMembers(testMember("f", "x", 1)), target: target, timing: testTiming}.Run(runCtx, discovery.Revision{}, func(b discovery.Batch) {
 			items = len(b.Items)
 			stop()
 		})
--- a/internal/fleet/members_test.go
+++ b/internal/fleet/members_test.go
@@ -174,7 +174,7 @@
 func TestFollowerGetsAFullBatchAndThenEachChange(t *testing.T) {
 	large := make([]byte, 2*minCompressBytes)
 	f := &fakeFeed{
-		full:    discovery.Batch{Full: true, Revision: 7, Items: []discovery.Item{{Key: "k", Value: large, Revision: 7}}},
+		full:    discovery.Batch{Full: true, Revision: discovery.Revision{Number: 7}, Items: []discovery.Item{{Key: "k", Value: large, Revision: discovery.Revision{Number: 7}}}},
 		changes: make(chan discovery.Batch, 1),
 	}
 	address, err := standin.FreeAddress()
@@ -190,16 +190,16 @@
 	target.Address = address
 	go func() {
 		for ctx.Err() == nil {
-			_ = Peer{members: follower, target: target, timing: testTiming}.Run(ctx, 0, func(b discovery.Batch) { got <- b })
+			_ = Peer{members: follower, target: target, timing: testTiming}.Run(ctx, discovery.Revision{}, func(b discovery.Batch) { got <- b })
 		}
 	}()
 	b := <-got
 	assert.Assert(t, b.Full)
 	assert.DeepEqual(t, b.Items, f.full.Items)
 	assert.Equal(t, b.Age, 5*time.Millisecond)
-	f.changes <- discovery.Batch{Revision: 8, Items: []discovery.Item{{Key: "k", Revision: 8, Deleted: true}}}
+	f.changes <- discovery.Batch{Revision: discovery.Revision{Number: 8}, Items: []discovery.Item{{Key: "k", Revision: discovery.Revision{Number: 8}, Deleted: true}}}
 	b = <-got
-	for b.Revision != 8 { // a heartbeat may arrive first
+	for b.Revision.Number != 8 { // a heartbeat may arrive first
 		b = <-got
 	}
 	assert.Assert(t, b.Items[0].Deleted)
@@ -227,17 +227,17 @@
 	target.Address = address
 	got, ended := make(chan discovery.Batch, 1), make(chan error, 1)
 	go func() {
-		ended <- Peer{members: NewMembers(testMember("b", "x", 1)), target: target, timing: testTiming}.Run(ctx, 0, func(b discovery.Batch) { got <- b })
+		ended <- Peer{members: NewMembers(testMember("b", "x", 1)), target: target, timing: testTiming}.Run(ctx, discovery.Revision{}, func(b discovery.Batch) { got <- b })
 	}()
 	time.Sleep(testTiming.NoDataTimeout / 10)
 	f.mu.Lock()
-	f.full = discovery.Batch{Full: true, Revision: 7, Items: []discovery.Item{{Key: "k", Revision: 7}}}
+	f.full = discovery.Batch{Full: true, Revision: discovery.Revision{Number: 7}, Items: []discovery.Item{{Key: "k", Revision: discovery.Revision{Number: 7}}}}
 	f.mu.Unlock()
-	f.changes <- discovery.Batch{Revision: 7}
+	f.changes <- discovery.Batch{Revision: discovery.Revision{Number: 7}}
 	select {
 	case b := <-got:
 		assert.Assert(t, b.Full)
-		assert.Equal(t, b.Revision, uint64(7))
+		assert.Equal(t, b.Revision, discovery.Revision{Number: 7})
 	case err := <-ended:
 		t.Fatalf("the follower gave up: %v", err)
 	}
@@ -254,7 +254,7 @@
 	target.Address = address
 	members := NewMembers(testMember("b", "x", 1))
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		err := Peer{members: members, target: target, timing: testTiming}.Run(ctx, 0, func(discovery.Batch) {})
+		err := Peer{members: members, target: target, timing: testTiming}.Run(ctx, discovery.Revision{}, func(discovery.Batch) {})
 		if !errors.Is(err, errNoStoreData) {
 			return poll.Continue("%v", err)
 		}
--- a/internal/fleet/pack.go
+++ b/internal/fleet/pack.go
@@ -36,7 +36,7 @@
 // batches, so full, revision and count identify one.
 type packed struct {
 	full     bool
-	revision uint64
+	revision discovery.Revision
 	count    int
 	data     []byte
 }
@@ -68,7 +68,7 @@
 func wireItems(items []discovery.Item) []*fleetwire.Item {
 	out := make([]*fleetwire.Item, 0, len(items))
 	for _, item := range items {
-		out = append(out, &fleetwire.Item{Key: item.Key, Value: item.Value, Revision: item.Revision, Deleted: item.Deleted})
+		out = append(out, &fleetwire.Item{Key: item.Key, Value: item.Value, Era: item.Revision.Era, Revision: item.Revision.Number, Deleted: item.Deleted})
 	}
 	return out
 }
