--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -290,7 +290,7 @@
 	}
 	if !s.answered {
 		s.answered = true
-		f.log.With("source", s.source.Name()).With("age", e.batch.Age).Infof("source answers")
+		f.log.With("source", s.source.Name()).With("age", e.batch.Age).With("revision", e.batch.Revision).Infof("source answers")
 	}
 	if s.source.Direct() {
 		f.storeAnswered(now)
--- a/internal/discovery/state.go
+++ b/internal/discovery/state.go
@@ -117,6 +117,9 @@
 		s.log.With("revision", s.revision).With("batch", b.Revision).Infof("ignored a full batch older than the state")
 		return nil
 	}
+	if s.listReceived && s.revision.Era < b.Revision.Era {
+		s.log.With("known", s.revision).With("revision", b.Revision).Warnf("new era: the store has come back from a copy, so all that it holds is taken over")
+	}
 	var changed []Item
 	for _, item := range b.Items {
 		if s.applyItem(item, now) {
