discovery: Leave a source of an older era

What callers would see: a gateway that knows the store's new era and follows another that does not (one that is cut off, or an older program) keeps using its configuration and servers as if they had just been confirmed, and uses servers again that the store has lost.

Cause: a batch that was ignored for its revision still counted as the store's confirmation, so no other source was tried, and a change of a key that the state does not hold was taken whatever its era.

Change: a batch that is of an older era than the state, or that holds changes of an era that was not listed, is not applied and ends the session, with both eras in the line; the next source, or the store, is tried as after any other failure.

It works because nothing that is older than the state can confirm it.

--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -274,7 +274,7 @@
 func (f *Follower) handle(ctx context.Context, e event, now time.Time) {
 	s := f.session
 	if e.session == snapshotSessionID {
-		if !f.state.Known() {
+		if !f.state.Known() && f.state.checkEra(e.batch) == nil {
 			f.apply(e.batch, now)
 			f.resumable = true
 		}
@@ -283,8 +283,12 @@
 	if s == nil || e.session != s.id {
 		return
 	}
-	if e.err != nil {
-		f.sessionFailed(s, e.err, now)
+	err := e.err
+	if err == nil {
+		err = f.state.checkEra(e.batch)
+	}
+	if err != nil {
+		f.sessionFailed(s, err, now)
 		f.chooseSource(ctx, now)
 		return
 	}
--- a/internal/discovery/follower_test.go
+++ b/internal/discovery/follower_test.go
@@ -363,6 +363,48 @@
 	assert.Assert(t, f.nextSource(now, roles).Direct())
 }
 
+// Guards against a gateway that waits for a source which the store's new era has not reached: its
+// updates counted as the store's confirmation, and its changes brought back what was lost.
+func TestSourceOfAnOlderEraIsLeft(t *testing.T) {
+	store, old, next := newFakeSource("store", true), newFakeSource("old", false), newFakeSource("new", false)
+	store.full.Revision, next.full.Revision = Revision{2, 9}, Revision{2, 9}
+	next.full.Items = []Item{{Key: "config", Value: []byte("3"), Revision: Revision{2, 2}}, {Key: "s/c", Value: []byte("up"), Revision: Revision{2, 9}}}
+	store.failure = errDown // the new era becomes known from the first source only
+	old.full = next.full
+	h := startFollower(t, store, Roles{Leader: true, Sources: []Source{old, next}})
+	waitFor(t, "listed", func() bool { return h.servers() == 1 && len(old.resumeRevisions()) == 1 })
+	confirmed := h.follower.confirmedAt.Load()
+	old.changes <- Batch{Revision: Revision{1, 50}, Items: []Item{{Key: "s/lost", Value: []byte("up"), Revision: Revision{1, 50}}}}
+	waitFor(t, "the other source is followed", func() bool { return len(next.resumeRevisions()) == 1 })
+	assert.Equal(t, h.servers(), 1)
+	assert.Assert(t, h.follower.confirmedAt.Load() > confirmed)
+}
+
+// Guards against old data that look fresh: neither a listing nor a heartbeat of an older era
+// confirms that there is nothing newer.
+func TestOlderEraConfirmsNothing(t *testing.T) {
+	for name, batch := range map[string]Batch{
+		"listing":   {Full: true, Revision: Revision{1, 50}, Items: []Item{put("config", "9", 50)}},
+		"heartbeat": {Revision: Revision{Era: 1}},
+		"change":    {Revision: Revision{1, 50}, Items: []Item{put("config", "9", 50)}},
+		"no era":    {Full: true, Revision: at(50), Items: []Item{put("config", "9", 50)}},
+	} {
+		for _, direct := range []bool{true, false} {
+			source := newFakeSource("source", direct)
+			f := NewFollower(Options{Decoder: textDecoder{}, Store: source, SetStoreReachable: func(bool, time.Time) {}, Publish: func(View) {}, Roles: func(time.Time) Roles { return Roles{} }})
+			f.apply(Batch{Full: true, Revision: Revision{2, 9}, Items: []Item{put("config", "3", 2)}, Age: time.Minute}, time.Now())
+			confirmed := f.confirmedAt.Load()
+			f.lastSessionID = 1
+			f.session = &session{id: 1, source: source, cancel: func() {}}
+			f.handle(t.Context(), event{session: 1, batch: batch}, time.Now())
+			assert.Equal(t, f.confirmedAt.Load(), confirmed, name)
+			assert.Equal(t, f.state.Table().Version, uint64(3), name)
+			assert.Equal(t, f.state.Revision(), Revision{2, 9}, name)
+			assert.Assert(t, f.session == nil || f.session.id != 1, "%s: the session goes on", name)
+		}
+	}
+}
+
 // The reader was cut off from the store, and the next in rank follows this leader. If the
 // leader stayed with it, both would wait for each other.
 func TestLeaderLeavesASourceWithStaleData(t *testing.T) {
--- a/internal/discovery/state.go
+++ b/internal/discovery/state.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/baobabstack/baobabstack/internal/logs"
 	"github.com/baobabstack/baobabstack/internal/routing"
 )
@@ -110,9 +112,26 @@
 // an outage.
 func (s *State) StoreRecovered(now time.Time) { s.graceUntil = now.Add(recoveryGrace) }
 
-// Apply applies a batch and returns the changes to pass on to followers. It ignores a
-// full batch that is older than the state.
+// checkEra returns an error if a batch doesn't fit the state's era: it is of an older one, or holds
+// changes since a newer one began, which the state has not listed.
+func (s *State) checkEra(b Batch) error {
+	switch known := s.revision.Era; {
+	case b.Revision.Era < known:
+		return errors.Errorf("its data are of era %d, and era %d is known (0: none is told)", b.Revision.Era, known)
+	case b.Revision.Era > known && !b.Full:
+		return errors.Errorf("it sent changes of era %d before all items of that era, and era %d is known", b.Revision.Era, known)
+	default:
+		return nil
+	}
+}
+
+// Apply applies a batch and returns the changes to pass on to followers. It ignores a batch that
+// doesn't fit the state's era, and a full batch that is older than the state.
 func (s *State) Apply(b Batch, now time.Time) []Item {
+	if err := s.checkEra(b); err != nil {
+		s.log.With("revision", s.revision).With("batch", b.Revision).Warnf("ignored a batch: %v", err)
+		return nil
+	}
 	if b.Full && b.Revision.Before(s.revision) {
 		s.log.With("revision", s.revision).With("batch", b.Revision).Infof("ignored a full batch older than the state")
 		return nil
