discovery: Keep for a time what the store's copy lacks

What callers would see in a new era, until the operator and the servers have written again: requests refused for servers that were dropped, requests sent to a data centre that is evacuated, and a gateway that starts with the configuration of the copy although its peers use a newer one.

Cause: a listing of a new era replaced all that was known.

Change: a new era begins with the 2 s in which missing servers are kept after an outage. Evacuations and the configuration that the copy lacks are kept for 15 s, unless they were written in the new era. The item of the configuration in force is replaced only by one that is not older.

It works because an absence from the copy is no word of the operator's, and because each kept item has an end.

--- a/internal/discovery/state.go
+++ b/internal/discovery/state.go
@@ -73,6 +73,11 @@
 // platform promises that records which expired meanwhile are back within two seconds.
 const recoveryGrace = 2 * time.Second
 
+// rewriteGrace is how long what the store lacks, or has in an older form, is kept after the store
+// has come back from a copy, so that it can be written again. It is longer than the three
+// heartbeats after which the store removes the record of a silent server.
+const rewriteGrace = 15 * time.Second
+
 // removalPropagation is how long RetainsUnlisted stays true after the last missing
 // server was removed. It is longer than the removal takes to reach the followers.
 const removalPropagation = time.Second
@@ -86,13 +91,14 @@
 	// evacuations holds the data centres to evacuate by the keys of the requests.
 	evacuations  map[string]string
 	table        *routing.Table
-	listReceived bool // a full batch was applied
+	tableKey     string // of the item that table was decoded from
+	listReceived bool   // a full batch was applied
 	revision     Revision
-	// graceUntil is recoveryGrace after the latest recovery of the store. missing holds
-	// the keys of servers that the store deleted before graceUntil; they are kept until
-	// then.
-	graceUntil time.Time
-	missing    map[string]struct{}
+	// graceUntil is recoveryGrace after the latest recovery of the store, and rewriteUntil is
+	// rewriteGrace after its latest return from a copy. missing holds the keys that the store
+	// doesn't have and that are kept, with the time until when.
+	graceUntil, rewriteUntil time.Time
+	missing                  map[string]time.Time
 	// removalsSettledAt is removalPropagation after the latest removal of missing
 	// servers.
 	removalsSettledAt time.Time
@@ -104,7 +110,7 @@
 func NewState(d Decoder) *State {
 	return &State{
 		decoder: d, log: logs.For("discovery"),
-		items: make(map[string]Item), servers: make(map[string]Server), evacuations: make(map[string]string), missing: make(map[string]struct{}),
+		items: make(map[string]Item), servers: make(map[string]Server), evacuations: make(map[string]string), missing: make(map[string]time.Time),
 	}
 }
 
@@ -136,8 +142,9 @@
 		s.log.With("revision", s.revision).With("batch", b.Revision).Infof("ignored a full batch older than the state")
 		return nil
 	}
-	if s.listReceived && s.revision.Era < b.Revision.Era {
-		s.log.With("known", s.revision).With("revision", b.Revision).Warnf("new era: the store has come back from a copy, so all that it holds is taken over")
+	if s.revision.Era > 0 && s.revision.Era < b.Revision.Era {
+		s.log.With("known", s.revision).With("revision", b.Revision).Warnf("new era: the store has come back from a copy")
+		s.graceUntil, s.rewriteUntil = now.Add(recoveryGrace), now.Add(rewriteGrace)
 	}
 	var changed []Item
 	for _, item := range b.Items {
@@ -157,7 +164,7 @@
 	return changed
 }
 
-// removeAbsent removes the keys that a full batch does not hold.
+// removeAbsent removes the keys that a full batch does not hold, but for those that are kept.
 func (s *State) removeAbsent(b Batch, now time.Time) []Item {
 	present := make(map[string]struct{}, len(b.Items))
 	for _, item := range b.Items {
@@ -169,7 +176,7 @@
 			continue
 		}
 		gone := Item{Key: key, Revision: b.Revision, Deleted: true}
-		if s.applyItem(gone, now) {
+		if s.items[key].Revision.Before(b.Revision) && s.remove(gone, true, now) {
 			changed = append(changed, gone)
 		}
 	}
@@ -183,14 +190,13 @@
 		return false
 	}
 	if item.Deleted {
-		return known && s.remove(item, now)
+		return known && s.remove(item, false, now)
 	}
-	delete(s.missing, item.Key)
-	s.items[item.Key] = item
 	if table, ok, err := s.decoder.Table(item); ok {
-		s.applyTable(table, err)
-		return true
+		return s.applyTable(item, table, err)
 	}
+	delete(s.missing, item.Key)
+	s.items[item.Key] = item
 	if dataCentre, ok, err := s.decoder.Evacuation(item); ok {
 		s.applyEvacuation(item, dataCentre, err)
 		return true
@@ -206,16 +212,25 @@
 	return true
 }
 
-func (s *State) applyTable(table *routing.Table, err error) {
+// applyTable puts a configuration in force unless it is invalid or not newer, and reports whether
+// it took the item over. The item of the configuration in force stays, for followers that start.
+func (s *State) applyTable(item Item, table *routing.Table, err error) bool {
 	switch {
 	case err != nil:
 		s.log.Errorf("configuration refused, the previous one stays in force: %v", err)
-	case s.table != nil && table.Version <= s.table.Version:
-		s.log.With("version", table.Version).With("in_force", s.table.Version).Warnf("ignored a configuration that is not newer")
+		return false
+	case s.table != nil && table.Version < s.table.Version:
+		s.log.With("version", table.Version).With("in_force", s.table.Version).With("revision", item.Revision).Warnf("ignored a configuration that is not newer")
+		return false
+	case s.table != nil && table.Version == s.table.Version:
+		s.log.With("version", table.Version).With("revision", item.Revision).Infof("configuration written again")
 	default:
-		s.log.With("version", table.Version).With("routes", table.Routes()).Infof("configuration in force")
+		s.log.With("version", table.Version).With("routes", table.Routes()).With("revision", item.Revision).Infof("configuration in force")
 		s.table = table
 	}
+	delete(s.missing, item.Key)
+	s.items[item.Key], s.tableKey = item, item.Key
+	return true
 }
 
 func (s *State) applyEvacuation(item Item, dataCentre string, err error) {
@@ -243,42 +258,65 @@
 	}
 }
 
-// remove removes an item and reports whether it did. During recoveryGrace it keeps a
-// server that is not leaving, because its record may only have expired in the outage.
-func (s *State) remove(item Item, now time.Time) bool {
-	server, isServer := s.servers[item.Key]
-	if isServer && !server.Leaving && now.Before(s.graceUntil) {
-		s.missing[item.Key] = struct{}{}
-		s.log.With("server", server.ID).Infof("server missing after an outage, kept until %s after the store's recovery", recoveryGrace)
+// keepUntil returns until when an item is kept that was deleted, or that a listing lacks; the
+// zero time if it goes at once. Servers that are not leaving are kept during recoveryGrace: their
+// records may only have expired in the outage. In a new era, an evacuation and the configuration
+// are kept during rewriteGrace if the store lacks them: it may have lost them.
+func (s *State) keepUntil(gone Item, unlisted bool) time.Time {
+	server, isServer := s.servers[gone.Key]
+	_, evacuates := s.evacuations[gone.Key]
+	switch {
+	case isServer && !server.Leaving:
+		return s.graceUntil
+	case unlisted && s.items[gone.Key].Revision.Era < gone.Revision.Era && (evacuates || gone.Key == s.tableKey):
+		return s.rewriteUntil
+	default:
+		return time.Time{}
+	}
+}
+
+// remove removes an item that was deleted, or that a listing lacks, and reports whether it did. It
+// keeps the item for a time if keepUntil says so.
+func (s *State) remove(gone Item, unlisted bool, now time.Time) bool {
+	server, isServer := s.servers[gone.Key]
+	if until := s.keepUntil(gone, unlisted); now.Before(until) {
+		s.missing[gone.Key] = until
+		if isServer {
+			s.log.With("server", server.ID).Infof("server missing after an outage, kept until %s after the store's recovery", recoveryGrace)
+		} else {
+			s.log.With("key", gone.Key).With("revision", gone.Revision).Infof("missing from the store's copy, kept until %s after the store's return", rewriteGrace)
+		}
 		return false
 	}
-	delete(s.items, item.Key)
-	delete(s.servers, item.Key)
-	delete(s.missing, item.Key)
-	if dataCentre, ok := s.evacuations[item.Key]; ok {
-		delete(s.evacuations, item.Key)
-		s.log.With("data_centre", dataCentre).With("revision", item.Revision).Infof("evacuation ends: the servers of the data centre get requests again")
+	delete(s.items, gone.Key)
+	delete(s.servers, gone.Key)
+	delete(s.missing, gone.Key)
+	if dataCentre, ok := s.evacuations[gone.Key]; ok {
+		delete(s.evacuations, gone.Key)
+		s.log.With("data_centre", dataCentre).With("revision", gone.Revision).Infof("evacuation ends: the servers of the data centre get requests again")
 	}
 	if isServer {
-		s.log.With("server", server.ID).With("service", server.Service).With("revision", item.Revision).Infof("server gone")
+		s.log.With("server", server.ID).With("service", server.Service).With("revision", gone.Revision).Infof("server gone")
 	}
 	return true
 }
 
-// Expire removes the servers that are still missing after recoveryGrace, and returns
-// the changes to pass on to followers.
+// Expire removes the items that are still missing at the end of their time, and returns the
+// changes to pass on to followers.
 func (s *State) Expire(now time.Time) []Item {
-	if len(s.missing) == 0 || now.Before(s.graceUntil) {
-		return nil
-	}
 	var changed []Item
 	for _, key := range slices.Sorted(maps.Keys(s.missing)) {
+		if now.Before(s.missing[key]) {
+			continue
+		}
 		gone := Item{Key: key, Revision: s.afterItem(key), Deleted: true}
-		if s.remove(gone, now) {
+		if s.remove(gone, true, now) {
 			changed = append(changed, gone)
 		}
 	}
-	s.removalsSettledAt = now.Add(removalPropagation)
+	if len(changed) > 0 {
+		s.removalsSettledAt = now.Add(removalPropagation)
+	}
 	return changed
 }
 
@@ -290,8 +328,8 @@
 }
 
 // RetainsUnlisted reports whether the state, or the state of a gateway that follows this
-// one, may hold servers that the store no longer listed at the state's revision. A watch
-// from that revision would not report the deletion of such servers.
+// one, may hold items that the store no longer listed at the state's revision. A watch
+// from that revision would not report their deletion.
 func (s *State) RetainsUnlisted(now time.Time) bool {
 	return len(s.missing) > 0 || s.sourceRetains || now.Before(s.removalsSettledAt)
 }
