discovery: Pass a listing that skips revisions on as a whole

What callers would see: one gateway sends nothing to a data centre whose evacuation has been taken back, or goes on with a server that is gone, until it lists the store itself.

Cause: a gateway that has read the store for itself can hold what its leader never had. A leader that has lost its watch, or may not resume it, lists the store, and passed only the changes of its own state on. What had come and gone in between was no change to it. This was found by a property test of states beside copies of the store, and needs no copy.

Change: a listing that moves the state forward is passed on as the whole state, as a new era was before. Listings without progress, such as those at the start of a session, are not.

Evidence: TestFollowerAheadOfItsLeaderLearnsWhatALeadersListingLacks fails on the commit before (the evacuation goes on for 3 s) and passes now. It works because the follower removes what the whole state lacks.

--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -324,17 +324,18 @@
 
 // apply applies a batch to the state and reports whether it changed anything.
 func (f *Follower) apply(b Batch, now time.Time) bool {
-	era := f.state.Revision().Era
+	before := f.state.Revision()
 	changed := f.state.Apply(b, now)
+	reached := f.state.Revision()
 	f.retainsUnlisted.Store(f.state.RetainsUnlisted(now))
-	newEra := f.state.Revision().Era != era
 	confirmed := int64(f.clock.Now() - b.Age)
-	if !newEra {
+	if before.Era == reached.Era {
 		confirmed = max(f.confirmedAt.Load(), confirmed)
 	}
 	f.confirmedAt.Store(confirmed)
-	f.publish(changed, newEra)
-	return newEra || len(changed) > 0
+	skips := b.Full && before.Before(reached)
+	f.publish(changed, skips)
+	return skips || len(changed) > 0
 }
 
 func (f *Follower) sessionFailed(s *session, err error, now time.Time) {
@@ -398,20 +399,20 @@
 	f.storeBackoff = storeBackoffMin
 }
 
-// publish passes changes on to the process and to subscribers. Subscribers get the whole state
-// in a new era: they may hold items of an older one that this gateway never had.
-func (f *Follower) publish(changed []Item, newEra bool) {
-	if len(changed) == 0 && !newEra {
+// publish passes changes on to the process and to subscribers. If the state has skipped revisions,
+// subscribers get all of it: they may hold items that this gateway never had.
+func (f *Follower) publish(changed []Item, skips bool) {
+	if len(changed) == 0 && !skips {
 		return
 	}
-	if f.state.Known() {
+	if f.state.Known() && len(changed) > 0 {
 		f.options.Publish(View{Table: f.state.Table(), Servers: f.state.Servers(), Evacuated: f.state.Evacuated(), Revision: f.state.Revision()})
 	}
 	full := f.state.Full()
 	f.mu.Lock()
 	f.full = full
 	f.mu.Unlock()
-	if newEra {
+	if skips {
 		f.broadcast(full)
 		return
 	}
--- a/internal/discovery/follower_test.go
+++ b/internal/discovery/follower_test.go
@@ -298,6 +298,34 @@
 	waitFor(t, "full batch read", func() bool { return h.servers() == 2 })
 }
 
+// Guards against an evacuation without end at one gateway: it had read the store itself, the
+// evacuation was taken back, and its leader, which had lost its watch, listed the store after that
+// and so had no change to pass on.
+func TestFollowerAheadOfItsLeaderLearnsWhatALeadersListingLacks(t *testing.T) {
+	store := newFakeSource("store", true)
+	h := startFollower(t, store, Roles{ReadsStore: true, Leader: true})
+	waitFor(t, "listed", func() bool { return h.servers() == 1 && len(store.resumeRevisions()) == 1 })
+	full, changes, cancel := h.follower.Subscribe()
+	defer cancel()
+	ahead := NewState(textDecoder{})
+	ahead.Apply(full, startTime)
+	ahead.Apply(Batch{Revision: at(20), Items: []Item{put("evacuate/x", "{}", 20)}}, startTime)
+	store.mu.Lock()
+	store.full.Revision = at(30)
+	store.mu.Unlock()
+	store.fail(ErrHistoryLost)
+	store.fail(nil)
+	waitFor(t, "the evacuation ends", func() bool {
+		select {
+		case b := <-changes:
+			ahead.Apply(b, startTime)
+		default:
+		}
+		return len(ahead.Evacuated()) == 0
+	})
+	assert.Equal(t, serverIDs(ahead), "a")
+}
+
 func TestSlowSubscriberIsDropped(t *testing.T) {
 	store := newFakeSource("store", true)
 	h := startFollower(t, store, Roles{ReadsStore: true, Leader: true})
