discovery: Withhold what the store's copy has in an older form

What callers would see in a new era, until all is written again: requests sent to servers that have left, some lost when those end, and requests refused because a data centre whose evacuation was taken back counted as evacuated.

Cause: each item of the listing of a new era was newer than anything known, also the record of a server from before it began to leave or was removed, and an evacuation from before it was taken back.

Change: a server's records are ordered by its start and its own sequence, and a run that leaves goes on leaving. Removed servers and evacuations are remembered for a minute. What the listing that begins an era has in an older form is withheld for 15 s, longer than the store keeps the record of a silent server; then it holds. A write of the new era, or its removal, holds at once. Followers are told that something is withheld, as they are of servers that are kept. A record that is written again unchanged is no longer decoded again.

--- a/internal/discovery/state.go
+++ b/internal/discovery/state.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"bytes"
 	"maps"
 	"slices"
 	"time"
@@ -31,6 +32,20 @@
 	Warmup time.Duration
 	// StartedMs is when the server started, in Unix milliseconds.
 	StartedMs int64
+	// Sequence rises with each record that one run of a server writes.
+	Sequence int
+}
+
+// writtenAfter reports whether a record of a server is newer than another with the same id.
+func (s Server) writtenAfter(other Server) bool {
+	switch {
+	case s.StartedMs != other.StartedMs:
+		return s.StartedMs > other.StartedMs
+	case s.Sequence != other.Sequence:
+		return s.Sequence > other.Sequence
+	default:
+		return s.Leaving && !other.Leaving // a server that leaves goes on leaving
+	}
 }
 
 // Item is a key of the store with its value, or its deletion.
@@ -78,6 +93,10 @@
 // heartbeats after which the store removes the record of a silent server.
 const rewriteGrace = 15 * time.Second
 
+// removalMemory is how long a removed server or evacuation is remembered at least. It is longer
+// than the age of a copy that the store may come back from.
+const removalMemory = time.Minute
+
 // removalPropagation is how long RetainsUnlisted stays true after the last missing
 // server was removed. It is longer than the removal takes to reach the followers.
 const removalPropagation = time.Second
@@ -99,6 +118,13 @@
 	// doesn't have and that are kept, with the time until when.
 	graceUntil, rewriteUntil time.Time
 	missing                  map[string]time.Time
+	// removed holds the servers and evacuations that were removed within removalMemory; it was
+	// cleared of older ones at removedClearedAt.
+	removed          map[string]removal
+	removedClearedAt time.Time
+	// withheld holds what the store listed at the start of an era and the state has not taken
+	// over until rewriteUntil, because something newer was known.
+	withheld map[string]Item
 	// removalsSettledAt is removalPropagation after the latest removal of missing
 	// servers.
 	removalsSettledAt time.Time
@@ -106,11 +132,21 @@
 	sourceRetains bool
 }
 
+// removal is the removal of a server or an evacuation.
+type removal struct {
+	time time.Time
+	// at is the revision of the removal, last that of the item before.
+	at, last Revision
+	// server is the last record, if it was a server.
+	server Server
+}
+
 // NewState returns an empty state.
 func NewState(d Decoder) *State {
 	return &State{
 		decoder: d, log: logs.For("discovery"),
 		items: make(map[string]Item), servers: make(map[string]Server), evacuations: make(map[string]string), missing: make(map[string]time.Time),
+		removed: make(map[string]removal), withheld: make(map[string]Item),
 	}
 }
 
@@ -142,12 +178,17 @@
 		s.log.With("revision", s.revision).With("batch", b.Revision).Infof("ignored a full batch older than the state")
 		return nil
 	}
-	if s.revision.Era > 0 && s.revision.Era < b.Revision.Era {
+	newEra := s.revision.Era > 0 && s.revision.Era < b.Revision.Era
+	if newEra {
 		s.log.With("known", s.revision).With("revision", b.Revision).Warnf("new era: the store has come back from a copy")
 		s.graceUntil, s.rewriteUntil = now.Add(recoveryGrace), now.Add(rewriteGrace)
+		clear(s.withheld)
 	}
 	var changed []Item
 	for _, item := range b.Items {
+		if b.Full && s.withholds(item, b, newEra) {
+			continue
+		}
 		if s.applyItem(item, now) {
 			changed = append(changed, item)
 		}
@@ -164,12 +205,50 @@
 	return changed
 }
 
+// withholds reports whether an item of a full batch is not taken over for now. That is so for an item
+// of the batch that begins an era, if something newer is known from before, and for the same item
+// in later batches.
+func (s *State) withholds(item Item, b Batch, newEra bool) bool {
+	if held, ok := s.withheld[item.Key]; ok {
+		return held.Revision == item.Revision
+	}
+	if !newEra || item.Revision.Era < b.Revision.Era || !s.predates(item) {
+		return false
+	}
+	s.withheld[item.Key] = item
+	s.log.With("key", item.Key).With("revision", item.Revision).Infof("the store's copy is older than what is known, which holds until %s after the store's return", rewriteGrace)
+	return true
+}
+
+// predates reports whether an item of a copy is older than what is known of its key, or than its
+// removal. Servers number their records. The value of an evacuation is always the same, so it is
+// the one that was removed if the copy has it at the same or a lower number.
+func (s *State) predates(item Item) bool {
+	known, listed := s.items[item.Key]
+	gone, removed := s.removed[item.Key]
+	if listed && bytes.Equal(known.Value, item.Value) || !listed && !removed {
+		return false
+	}
+	server, isServer, err := s.decoder.Server(item)
+	switch {
+	case isServer && listed:
+		return err == nil && s.servers[item.Key].writtenAfter(server)
+	case isServer:
+		return err == nil && !server.writtenAfter(gone.server)
+	default:
+		return removed && item.Revision.Number <= gone.last.Number
+	}
+}
+
 // removeAbsent removes the keys that a full batch does not hold, but for those that are kept.
 func (s *State) removeAbsent(b Batch, now time.Time) []Item {
-	present := make(map[string]struct{}, len(b.Items))
+	present := make(map[string]Revision, len(b.Items))
 	for _, item := range b.Items {
-		present[item.Key] = struct{}{}
+		present[item.Key] = item.Revision
 	}
+	maps.DeleteFunc(s.withheld, func(key string, held Item) bool {
+		return present[key].Before(held.Revision) // what a source keeps is older, so the store has lost it
+	})
 	var changed []Item
 	for _, key := range slices.Sorted(maps.Keys(s.items)) {
 		if _, ok := present[key]; ok {
@@ -186,12 +265,19 @@
 // applyItem applies one item and reports whether it changed anything.
 func (s *State) applyItem(item Item, now time.Time) bool {
 	old, known := s.items[item.Key]
-	if known && !old.Revision.Before(item.Revision) {
+	if known && !old.Revision.Before(item.Revision) || item.Revision.Before(s.removed[item.Key].at) || item.Revision.Before(s.withheld[item.Key].Revision) {
 		return false
 	}
+	delete(s.withheld, item.Key)
 	if item.Deleted {
 		return known && s.remove(item, false, now)
 	}
+	delete(s.removed, item.Key)
+	if known && bytes.Equal(old.Value, item.Value) {
+		delete(s.missing, item.Key)
+		s.items[item.Key] = item
+		return true
+	}
 	if table, ok, err := s.decoder.Table(item); ok {
 		return s.applyTable(item, table, err)
 	}
@@ -288,10 +374,14 @@
 		}
 		return false
 	}
+	dataCentre, evacuates := s.evacuations[gone.Key]
+	if isServer || evacuates {
+		s.removed[gone.Key] = removal{time: now, at: gone.Revision, last: s.items[gone.Key].Revision, server: server}
+	}
 	delete(s.items, gone.Key)
 	delete(s.servers, gone.Key)
 	delete(s.missing, gone.Key)
-	if dataCentre, ok := s.evacuations[gone.Key]; ok {
+	if evacuates {
 		delete(s.evacuations, gone.Key)
 		s.log.With("data_centre", dataCentre).With("revision", gone.Revision).Infof("evacuation ends: the servers of the data centre get requests again")
 	}
@@ -301,9 +391,13 @@
 	return true
 }
 
-// Expire removes the items that are still missing at the end of their time, and returns the
-// changes to pass on to followers.
+// Expire removes the items that are still missing at the end of their time, takes over what is
+// withheld at the end of rewriteGrace, and returns the changes to pass on to followers.
 func (s *State) Expire(now time.Time) []Item {
+	if now.Sub(s.removedClearedAt) > removalMemory {
+		maps.DeleteFunc(s.removed, func(_ string, r removal) bool { return now.Sub(r.time) > removalMemory })
+		s.removedClearedAt = now
+	}
 	var changed []Item
 	for _, key := range slices.Sorted(maps.Keys(s.missing)) {
 		if now.Before(s.missing[key]) {
@@ -314,6 +408,17 @@
 			changed = append(changed, gone)
 		}
 	}
+	if !now.Before(s.rewriteUntil) {
+		for _, key := range slices.Sorted(maps.Keys(s.withheld)) {
+			item := s.withheld[key]
+			delete(s.withheld, key)
+			item.Revision = latest(item.Revision, s.revision) // followers may have removed it since
+			s.log.With("key", key).With("revision", item.Revision).Infof("the store's item holds: it was not written again")
+			if s.applyItem(item, now) {
+				changed = append(changed, item)
+			}
+		}
+	}
 	if len(changed) > 0 {
 		s.removalsSettledAt = now.Add(removalPropagation)
 	}
@@ -328,10 +433,10 @@
 }
 
 // RetainsUnlisted reports whether the state, or the state of a gateway that follows this
-// one, may hold items that the store no longer listed at the state's revision. A watch
-// from that revision would not report their deletion.
+// one, may hold items that the store no longer listed at the state's revision, or withholds
+// some that it listed. A watch from that revision would not report these.
 func (s *State) RetainsUnlisted(now time.Time) bool {
-	return len(s.missing) > 0 || s.sourceRetains || now.Before(s.removalsSettledAt)
+	return len(s.missing)+len(s.withheld) > 0 || s.sourceRetains || now.Before(s.removalsSettledAt)
 }
 
 // Full returns the state as a full batch, for a new follower.
--- a/internal/discovery/state_test.go
+++ b/internal/discovery/state_test.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"fmt"
 	"slices"
 	"strconv"
 	"strings"
@@ -14,8 +15,8 @@
 	"github.com/baobabstack/baobabstack/internal/routing"
 )
 
-// textDecoder decodes the value of "config" as a version, and that of "s/ID" as "up",
-// "leaving" or an invalid record.
+// textDecoder decodes the value of "config" as a version, and that of "s/ID" as "up" or
+// "leaving", which a sequence and a start time may follow, or an invalid record.
 type textDecoder struct{}
 
 func (textDecoder) Table(item Item) (*routing.Table, bool, error) {
@@ -43,11 +44,15 @@
 	if !ok {
 		return Server{}, false, nil
 	}
-	switch string(item.Value) {
+	var state string
+	server := Server{ID: id}
+	_, _ = fmt.Sscan(string(item.Value), &state, &server.Sequence, &server.StartedMs) // the numbers may be left out
+	switch state {
 	case "up":
-		return Server{ID: id}, true, nil
+		return server, true, nil
 	case "leaving":
-		return Server{ID: id, Leaving: true}, true, nil
+		server.Leaving = true
+		return server, true, nil
 	default:
 		return Server{}, true, errors.Errorf("invalid record %q of server %q", item.Value, id)
 	}
