fleet: Compress each batch for itself

What callers would see: gateways that follow another go on with the servers and the configuration of another batch, of an older era or from before the end of a withholding.

Cause: the compressed form of a batch is kept for all followers and was found again by whether it is full, its revision and its number of items. Two batches can agree in all three.

Change: the batch is found by its items themselves, which all followers share.

It works because a slice that the cache holds can't be another batch's.

--- a/internal/fleet/pack.go
+++ b/internal/fleet/pack.go
@@ -32,13 +32,16 @@
 	last packed
 }
 
-// packed caches the batch that was compressed last. All followers receive the same
-// batches, so full, revision and count identify one.
+// packed caches the batch that was compressed last. All followers receive the same slice of items,
+// which identifies the batch: one of the same revision may hold others.
 type packed struct {
-	full     bool
-	revision discovery.Revision
-	count    int
-	data     []byte
+	items []discovery.Item
+	data  []byte
+}
+
+// holds reports whether the batch with these items is the one in the cache.
+func (p *packed) holds(items []discovery.Item) bool {
+	return len(p.items) == len(items) && &p.items[0] == &items[0]
 }
 
 // pack returns a batch's items either as messages or, from minCompressBytes on, as
@@ -53,15 +56,15 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if l := p.last; l.data != nil && l.full == b.Full && l.revision == b.Revision && l.count == len(b.Items) {
-		return nil, l.data
+	if p.last.holds(b.Items) {
+		return nil, p.last.data
 	}
 	data, err := compress(b.Items)
 	if err != nil {
 		p.log.Warnf("can't compress items, sending them uncompressed: %v", err)
 		return wireItems(b.Items), nil
 	}
-	p.last = packed{full: b.Full, revision: b.Revision, count: len(b.Items), data: data}
+	p.last = packed{items: b.Items, data: data}
 	return nil, data
 }
 
