--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -285,7 +285,9 @@
 	}
 	err := e.err
 	if err == nil {
-		err = f.state.checkEra(e.batch)
+		if err = f.state.checkEra(e.batch); err != nil {
+			countOtherEra()
+		}
 	}
 	if err != nil {
 		f.sessionFailed(s, err, now)
@@ -302,8 +304,12 @@
 		f.storeUnreachable.Store(false) // only a gateway that reads the store reports it unreachable
 	}
 	f.resumable = true
-	confirmed := f.confirmedAt.Load()
-	if !f.apply(e.batch, now) && (s.source.Direct() || f.confirmedAt.Load()-confirmed > int64(f.options.Timing.Heartbeat/2)) {
+	confirmed, era := f.confirmedAt.Load(), f.state.Revision().Era
+	changed := f.apply(e.batch, now)
+	if era > 0 && era < f.state.Revision().Era {
+		countEraListing(s.source.Direct())
+	}
+	if !changed && (s.source.Direct() || f.confirmedAt.Load()-confirmed > int64(f.options.Timing.Heartbeat/2)) {
 		f.confirm()
 	}
 	f.checkSourceAge(ctx, s, e.batch.Age, now)
@@ -328,6 +334,7 @@
 	changed := f.state.Apply(b, now)
 	reached := f.state.Revision()
 	f.retainsUnlisted.Store(f.state.RetainsUnlisted(now))
+	reportEra(reached.Era)
 	confirmed := int64(f.clock.Now() - b.Age)
 	if before.Era == reached.Era {
 		confirmed = max(f.confirmedAt.Load(), confirmed)
