discovery: Keep and withhold for 10 s after a return from a copy

What callers would see: requests refused for 15 s after the last of several returns from a copy, since an evacuation that the copies lack, and that was taken back while no gateway could hear it, is kept that long; the platform allows 15 s for the recovery after faults. Cause: the time for writing again was as long as that bound. Change: 10 s, still twice the 4.5 s after which the store removes the record of a silent server.

--- a/internal/discovery/state.go
+++ b/internal/discovery/state.go
@@ -91,7 +91,7 @@
 // rewriteGrace is how long what the store lacks, or has in an older form, is kept after the store
 // has come back from a copy, so that it can be written again. It is longer than the three
 // heartbeats after which the store removes the record of a silent server.
-const rewriteGrace = 15 * time.Second
+const rewriteGrace = 10 * time.Second
 
 // removalMemory is how long a removed server or evacuation is remembered at least. It is longer
 // than the age of a copy that the store may come back from.
