soak, proofs: Let the store come back from a copy

Cause: neither the soak nor the proofs had a store that loses its last writes. Change: a group of faults, copies: the store is away for up to a second and comes back, once or twice in a row, from a copy up to 4 s old; what was lost is written again before anyone asks or up to 1.5 s later. Rewriting in the stand-in leaves alone what was written or removed since.

--- a/Makefile
+++ b/Makefile
@@ -92,7 +92,7 @@
 SOAK_SECONDS := 8
 # Seeds that are run in CI, with their faults: one, and those that ever failed,
 # which are listed in proof/soak/seeds.txt.
-SOAK_SHORT := 1@general 1@places $(shell sed -n 's/^\([0-9][^ ]*\) .*/\1/p' proof/soak/seeds.txt)
+SOAK_SHORT := 1@general 1@places 1@general,places,copies $(shell sed -n 's/^\([0-9][^ ]*\) .*/\1/p' proof/soak/seeds.txt)
 
 # Runs the fault soak: one seed, or fresh seeds for some minutes, or a short run; with
 # GATEWAYS=60 of many processes.
@@ -102,9 +102,9 @@
 # Shows that the soak finds each deliberate defect: every line must end in violations.
 soak-defects:
 	go build -tags defects -o $(BIN)/defects/ ./cmd/baobabstack
-	@for defect in gateway-resend-unsafe gateway-refuse-unknown gateway-ignore-leaving gateway-ignore-standing gateway-pass-cut-answers gateway-ignore-evacuation; do \
+	@for defect in gateway-resend-unsafe gateway-refuse-unknown gateway-ignore-leaving gateway-ignore-standing gateway-pass-cut-answers gateway-ignore-evacuation gateway-ignore-store-era; do \
 		echo "== $$defect"; \
-		if $(BIN)/soak --binary $(BIN)/defects/baobabstack --defect $$defect --seconds 25 --seed 1@general --seed 2@general --seed 1@places | grep -E '^(seed|VIOLATION)' | head -3; then :; fi; \
+		if $(BIN)/soak --binary $(BIN)/defects/baobabstack --defect $$defect --seconds 25 --seed 1@general --seed 2@general --seed 1@places --seed 1@copies,configuration | grep -E '^(seed|VIOLATION)' | head -3; then :; fi; \
 	done
 
 .PHONY: scores
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -21,7 +21,7 @@
 	Seconds  int      `long:"seconds" default:"15" description:"Length of a run's faults"`
 	Gateways int      `long:"gateways" default:"5" description:"Number of gateways"`
 	Callers  int      `long:"callers" description:"Number of callers; by default 24, or one a gateway if that is more"`
-	Faults   []string `long:"fault" description:"Kind or group (general, stops, endless, refusals) of faults to inject, of all if none is named; may be repeated"`
+	Faults   []string `long:"fault" description:"Kind or group (general, stops, endless, refusals, places, copies) of faults to inject, of all if none is named; may be repeated"`
 	Defect   string   `long:"defect" description:"Deliberate defect to switch on; the binary needs the build tag defects"`
 }
 
--- a/proof/soak/doc.go
+++ b/proof/soak/doc.go
@@ -6,8 +6,9 @@
 // bodies in pieces, read in pieces, are behind a slow link, or ask for large answers
 // and long work. They keep their connections until the gateway ends them or a stop is
 // over. The faults are in groups: general, stops (planned stops in unusual orders), endless
-// (servers that send without end), refusals (services that refuse everything) and places
-// (data centres that are evacuated and come back cold). A seed draws the same faults as
+// (servers that send without end), refusals (services that refuse everything), places (data
+// centres that are evacuated and come back cold) and copies (the store comes back from a copy
+// that lacks its last writes). A seed draws the same faults as
 // long as its groups stay as they are; it does not fix what happens when.
 //
 // A gateway must take no answer from a caller, in a planned stop or at any other time
--- a/proof/soak/faults.go
+++ b/proof/soak/faults.go
@@ -172,7 +172,7 @@
 var faultGroups = []struct {
 	name   string
 	faults []fault
-}{{"general", faults}, {"stops", stopFaults}, {"endless", endlessFaults}, {"refusals", refusalFaults}, {"places", placeFaults}}
+}{{"general", faults}, {"stops", stopFaults}, {"endless", endlessFaults}, {"refusals", refusalFaults}, {"places", placeFaults}, {"copies", copyFaults}}
 
 // kinds returns the kinds of fault to inject: all, or those that are named by themselves or by
 // their groups.
--- a/proof/soak/soak.go
+++ b/proof/soak/soak.go
@@ -75,6 +75,8 @@
 	restarting sync.Mutex
 	// evacuating is held while a data centre is evacuated.
 	evacuating sync.Mutex
+	// copying is held from when a copy of the store is made until all that it lacks is written again.
+	copying sync.Mutex
 
 	mu          sync.Mutex
 	servers     []*serverNode
