--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -328,7 +328,8 @@
 	}
 }
 
-// apply applies a batch to the state and reports whether it changed anything.
+// apply applies a batch to the state and passes on what it changed. It reports whether it passed
+// anything on. What confirmed the state of an older era confirms nothing in a new one.
 func (f *Follower) apply(b Batch, now time.Time) bool {
 	before := f.state.Revision()
 	changed := f.state.Apply(b, now)
@@ -375,8 +376,8 @@
 	f.options.SetStoreReachable(reachable, now)
 }
 
-// RetainsUnlisted reports whether the state may hold servers that the store no longer
-// lists.
+// RetainsUnlisted reports whether the state may hold items that the store no longer lists, or
+// withhold some that it lists.
 func (f *Follower) RetainsUnlisted() bool { return f.retainsUnlisted.Load() }
 
 // StoreUnreachable reports whether this gateway reads the store and gets no answer.
--- a/internal/discovery/state.go
+++ b/internal/discovery/state.go
@@ -66,8 +66,8 @@
 	// Revision is the store's revision that the receiver reaches by applying the batch. Its
 	// number is 0 if the batch changes nothing; its era always holds.
 	Revision Revision
-	// RetainsUnlisted says that the source may hold servers that the store no longer
-	// lists.
+	// RetainsUnlisted says that the source may hold items that the store no longer lists, or
+	// withhold some that it lists.
 	RetainsUnlisted bool
 	// Age is how long ago the store confirmed that there is nothing newer.
 	Age time.Duration
@@ -97,8 +97,8 @@
 // than the age of a copy that the store may come back from.
 const removalMemory = time.Minute
 
-// removalPropagation is how long RetainsUnlisted stays true after the last missing
-// server was removed. It is longer than the removal takes to reach the followers.
+// removalPropagation is how long RetainsUnlisted stays true after the last missing item was
+// removed or withheld one taken over. It is longer than that takes to reach the followers.
 const removalPropagation = time.Second
 
 // State is a gateway's copy of the store. It is not safe for concurrent use.
@@ -125,8 +125,8 @@
 	// withheld holds what the store listed at the start of an era and the state has not taken
 	// over until rewriteUntil, because something newer was known.
 	withheld map[string]Item
-	// removalsSettledAt is removalPropagation after the latest removal of missing
-	// servers.
+	// removalsSettledAt is removalPropagation after missing items were last removed, or
+	// withheld ones taken over.
 	removalsSettledAt time.Time
 	// sourceRetains is RetainsUnlisted of the last batch.
 	sourceRetains bool
@@ -265,7 +265,10 @@
 // applyItem applies one item and reports whether it changed anything.
 func (s *State) applyItem(item Item, now time.Time) bool {
 	old, known := s.items[item.Key]
-	if known && !old.Revision.Before(item.Revision) || item.Revision.Before(s.removed[item.Key].at) || item.Revision.Before(s.withheld[item.Key].Revision) {
+	switch {
+	case known && !old.Revision.Before(item.Revision),
+		item.Revision.Before(s.removed[item.Key].at),
+		item.Revision.Before(s.withheld[item.Key].Revision):
 		return false
 	}
 	delete(s.withheld, item.Key)
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -29,7 +29,8 @@
 	// Age returns the time since the store confirmed that there is nothing newer; ok is
 	// false if there is no store data yet.
 	Age() (age time.Duration, ok bool)
-	// RetainsUnlisted reports whether servers that the store no longer lists are kept.
+	// RetainsUnlisted reports whether items that the store no longer lists are kept, or some that
+	// it lists withheld.
 	RetainsUnlisted() bool
 	// StoreUnreachable reports whether this gateway reads the store but the store does
 	// not answer.
