discovery: Log and count data that have become old

Change: a line when the data are older than a leader may let them become, one each time that what the gateway does about it changes, and one when they are confirmed again; a gauge of the age and a counter. The limit from which the store is asked is a method of its own. No choice changes. TestWhatIsDoneAboutOldDataIsReported passes.

--- a/internal/discovery/choose.go
+++ b/internal/discovery/choose.go
@@ -9,7 +9,7 @@
 // next source should replace the present one.
 func (f *Follower) chooseSource(ctx context.Context, now time.Time) {
 	roles := f.options.Roles(now)
-	f.leader = roles.Leader || roles.ReadsStore
+	f.roles, f.leader = roles, roles.Leader || roles.ReadsStore
 	next := f.nextSource(now, roles)
 	s := f.session
 	switch {
@@ -67,20 +67,24 @@
 	return min(peerBackoff<<rounds, peerBackoffMax)
 }
 
-// stale reports whether the store's last confirmation of the state is too old. The limit
-// is the shortest for a leader, because other gateways follow it, and the longest while the
-// leader answers: it asks the store first and passes on what it gets.
+// stale reports whether the store's last confirmation of the state is too old.
 func (f *Follower) stale(roles Roles) bool {
+	return f.state.Known() && f.age() > f.staleLimit(roles)
+}
+
+// staleLimit returns the age from which the state is too old. It is the shortest for a leader,
+// because other gateways follow it, and the longest while the leader answers: it asks the store
+// first and passes on what it gets.
+func (f *Follower) staleLimit(roles Roles) time.Duration {
 	t := f.options.Timing
-	limit := t.LeaderStaleAge
-	if !roles.Leader {
-		spread := t.StaleSpread
-		if f.leaderAnswers(roles) {
-			spread = max(spread, time.Duration(roles.Members)*storeTryInterval)
-		}
-		limit = t.FollowerStaleAge + time.Duration(f.staleJitter*float64(spread))
+	if roles.Leader {
+		return t.LeaderStaleAge
+	}
+	spread := t.StaleSpread
+	if f.leaderAnswers(roles) {
+		spread = max(spread, time.Duration(roles.Members)*storeTryInterval)
 	}
-	return f.state.Known() && f.clock.Now()-time.Duration(f.confirmedAt.Load()) > limit
+	return t.FollowerStaleAge + time.Duration(f.staleJitter*float64(spread))
 }
 
 // shouldSwitch reports whether session s should be replaced by one with source next.
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -138,8 +138,11 @@
 	peerLostAt    time.Time // the last failure of another gateway that had answered
 	// peerFailures counts the failures of other gateways since one answered.
 	peerFailures int
-	// leader is Roles.Leader or Roles.ReadsStore at the latest choice of a source.
-	leader       bool
+	// roles are those at the latest choice of a source, leader is their Leader or ReadsStore.
+	roles  Roles
+	leader bool
+	// plan is what was last logged about data that are old, empty while they are not.
+	plan         plan
 	staleJitter  float64   // the share of the largest delay that this gateway waits, 0 to 1
 	failingSince time.Time // the first failure of the store's present outage, or zero
 	storeBackoff time.Duration
@@ -163,6 +166,7 @@
 	cancel    context.CancelFunc
 	answered  bool
 	startedAt time.Time
+	age       time.Duration // of the latest batch
 }
 
 type event struct {
@@ -198,11 +202,13 @@
 			if f.state.Known() {
 				cancel()
 			}
+			f.reportAge(time.Now())
 		case <-tick.C:
 			now := time.Now()
 			f.publish(f.state.Expire(now), false)
 			f.retainsUnlisted.Store(f.state.RetainsUnlisted(now))
 			f.chooseSource(ctx, now)
+			f.reportAge(now)
 			tick.Reset(f.checkInterval())
 		case <-ctx.Done():
 			return ctx.Err()
@@ -294,6 +300,7 @@
 		f.chooseSource(ctx, now)
 		return
 	}
+	s.age = e.batch.Age
 	if !s.answered {
 		s.answered = true
 		f.log.With("source", s.source.Name()).With("age", e.batch.Age).With("revision", e.batch.Revision).Infof("source answers")
--- a/internal/discovery/metrics.go
+++ b/internal/discovery/metrics.go
@@ -1,6 +1,20 @@
 package discovery
 
-import "github.com/VictoriaMetrics/metrics"
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// reportDataAge serves the time since the store last confirmed the data.
+func reportDataAge(age time.Duration) {
+	metrics.GetOrCreateGauge("baobabstack_discovery_data_age_seconds", nil).Set(age.Seconds())
+}
+
+// countOldData counts the times that the data became older than a leader may let them become.
+func countOldData() {
+	metrics.GetOrCreateCounter("baobabstack_discovery_old_data_total").Inc()
+}
 
 // reportEra serves the era of the state, 0 while none is told.
 func reportEra(era uint64) {
