discovery, fleet: Let a gateway that the store answers lead in place of one with old data

What callers saw: requests run by an old version after the newer one was due (CONFIG), at gateways that nothing had happened to. Cause: a follower whose leader answers left the store to it, even while the leader's data grew old, and asked itself only after a random wait of up to 33 ms for each gateway of the fleet, 4.1 s with 124. The wait kept the calls of a whole fleet bounded, but what one gateway learned did not reach the others, so all had to wait for their own call. A leader that is cut off from the store and from other data centres answers its followers as before. Change: once the leader's data are older than 65% of the bound, the gateways of a data centre ask the store in turn, by rank, at the same rate over the fleet. The first that is answered acts as leader for 10 s and tells its data centre in one datagram to each; the others follow it at once, also those that wait for the store, and the old leader too. A later term replaces an earlier one, whose leader may be cut off in its turn. Choices of a source come in time for the limit, not at the next 200 ms. The regression test gives each gateway entries of its own (they shared their memory), and has two cases more. It works because the news now crosses the data centre from whoever gets it first, so the wait of each gateway no longer has to fit into the bound, only that of the first few.

--- a/internal/discovery/choose.go
+++ b/internal/discovery/choose.go
@@ -9,6 +9,9 @@
 // next source should replace the present one.
 func (f *Follower) chooseSource(ctx context.Context, now time.Time) {
 	roles := f.options.Roles(now)
+	if roles.LeaderConfirmedAt.After(f.roles.LeaderConfirmedAt) {
+		f.peerFailures, f.peerFailedAt = 0, time.Time{} // those of other leaders
+	}
 	f.roles, f.leader = roles, roles.Leader || roles.ReadsStore
 	next := f.nextSource(now, roles)
 	s := f.session
@@ -18,14 +21,16 @@
 	case s != nil && !f.shouldSwitch(s, next, roles, now):
 		return
 	}
+	forLeader := next.Direct() && !f.leader && f.leaderAnswers(roles)
 	f.startSession(ctx, next, now)
+	f.session.forLeader = forLeader
 }
 
 // nextSource returns the source to follow now, or nil if none may be tried yet.
 func (f *Follower) nextSource(now time.Time, roles Roles) Source {
 	storeReady := now.Sub(f.storeFailedAt) >= f.storeRetryDelay(roles)
 	switch {
-	case storeReady && (roles.ReadsStore || f.stale(roles)):
+	case storeReady && (roles.ReadsStore || f.stale(roles) && !f.leaderConfirmed(roles, now)):
 		return f.options.Store
 	case len(roles.Sources) > 0 && now.Sub(f.peerFailedAt) >= f.peerRetryDelay(len(roles.Sources)):
 		return roles.Sources[f.peerFailures%len(roles.Sources)]
@@ -67,14 +72,20 @@
 	return min(peerBackoff<<rounds, peerBackoffMax)
 }
 
+// leaderConfirmed reports whether the gateway follows, or can follow, a leader that the store
+// answered a short time ago.
+func (f *Follower) leaderConfirmed(roles Roles, now time.Time) bool {
+	return !roles.Leader && now.Sub(roles.LeaderConfirmedAt) < f.options.Timing.FollowerStaleAge
+}
+
 // stale reports whether the store's last confirmation of the state is too old.
 func (f *Follower) stale(roles Roles) bool {
 	return f.state.Known() && f.age() > f.staleLimit(roles)
 }
 
 // staleLimit returns the age from which the state is too old. It is the shortest for a leader,
-// because other gateways follow it, and the longest while the leader answers: it asks the store
-// first and passes on what it gets.
+// because other gateways follow it. The others ask in turn, so that their calls don't grow with
+// the fleet while their leader answers: they hear from the first that the store answers.
 func (f *Follower) staleLimit(roles Roles) time.Duration {
 	t := f.options.Timing
 	if roles.Leader {
@@ -84,7 +95,7 @@
 	if f.leaderAnswers(roles) {
 		spread = max(spread, time.Duration(roles.Members)*storeTryInterval)
 	}
-	return t.FollowerStaleAge + time.Duration(f.staleJitter*float64(spread))
+	return t.FollowerStaleAge + time.Duration(roles.Turn*float64(spread))
 }
 
 // shouldSwitch reports whether session s should be replaced by one with source next.
@@ -92,14 +103,16 @@
 	switch {
 	case next.Direct():
 		return roles.ReadsStore || f.stale(roles)
+	case s.source.Direct() && !s.answered:
+		return f.leaderConfirmed(roles, now)
 	case s.source.Direct():
 		minTime := minStoreTime
 		if now.Sub(f.peerLostAt) < minStoreTimePeersDown {
 			minTime = minStoreTimePeersDown
 		}
-		return !roles.ReadsStore && s.answered && now.Sub(s.startedAt) > minTime
+		return !roles.ReadsStore && now.Sub(s.startedAt) > minTime
 	case s.answered:
-		return now.Sub(s.startedAt) > minPeerTime
+		return now.Sub(s.startedAt) > minPeerTime || f.age() > f.options.Timing.LeaderStaleAge && f.leaderConfirmed(roles, now)
 	default:
 		return now.Sub(s.startedAt) > minUnansweredTime
 	}
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -52,7 +52,8 @@
 	minStoreTimePeersDown = 5 * time.Second
 	// storeTryInterval is the mean time between two calls to the store by gateways whose
 	// leader still answers, with data that grow old. Only the leaders of a store that is
-	// silent towards all ask it sooner.
+	// silent towards all ask it sooner. The first that it answers acts as leader, and the
+	// others of its data centre follow it.
 	storeTryInterval = 33 * time.Millisecond
 	// minPeerTime is how long another gateway is followed before a better one replaces
 	// it, so that membership can settle.
@@ -79,7 +80,7 @@
 	// which its recovery counts as the end of an outage.
 	minOutage = 800 * time.Millisecond
 	// checkIntervalUnanswered is the pause between two choices of a source until the
-	// present source has answered, checkIntervalAnswered the pause from then on.
+	// present source has answered, checkIntervalAnswered the longest from then on.
 	checkIntervalUnanswered = 25 * time.Millisecond
 	checkIntervalAnswered   = 200 * time.Millisecond
 	// subscriberBuffer is the number of batches that are buffered for a subscriber.
@@ -98,9 +99,15 @@
 
 // Roles says whether a gateway reads the store, and which gateways it may follow.
 type Roles struct {
-	// ReadsStore says that the gateway reads the store for others, Leader that it is the
-	// first gateway of its data centre.
+	// ReadsStore says that the gateway reads the store for others, Leader that it leads its
+	// data centre.
 	ReadsStore, Leader bool
+	// LeaderConfirmedAt is when the store had answered the first source, if that acts as
+	// leader in place of another, otherwise the zero time.
+	LeaderConfirmedAt time.Time
+	// Turn is the gateway's place among those of its data centre that ask the store because
+	// their leader does not confirm their data, from 0 for the first to 1.
+	Turn float64
 	// Sources are other gateways, the best first.
 	Sources []Source
 	// Members is the number of gateways in the fleet, as far as they are known.
@@ -118,6 +125,9 @@
 	// SetStoreReachable is called with false after each failure of the store, and with
 	// true when it answers again.
 	SetStoreReachable func(reachable bool, now time.Time)
+	// ActAsLeader is called when the store has answered this gateway, which asked it because
+	// its leader answers with data that have grown old. The default does nothing.
+	ActAsLeader func(now time.Time)
 	// Publish is called with each new view, from the goroutine of Serve.
 	Publish func(View)
 }
@@ -143,7 +153,6 @@
 	leader bool
 	// plan is what was last logged about data that are old, empty while they are not.
 	plan         plan
-	staleJitter  float64   // the share of the largest delay that this gateway waits, 0 to 1
 	failingSince time.Time // the first failure of the store's present outage, or zero
 	storeBackoff time.Duration
 
@@ -167,6 +176,8 @@
 	answered  bool
 	startedAt time.Time
 	age       time.Duration // of the latest batch
+	// forLeader says that the store is asked because the leader answers with old data.
+	forLeader bool
 }
 
 type event struct {
@@ -180,6 +191,9 @@
 	if o.Timing == (Timing{}) {
 		o.Timing = NewTiming(DefaultChangeBound)
 	}
+	if o.ActAsLeader == nil {
+		o.ActAsLeader = func(time.Time) {}
+	}
 	return &Follower{
 		options: o, log: logs.For("discovery"), state: NewState(o.Decoder), events: make(chan event, subscriberBuffer),
 		subscribers: make(map[chan Batch]struct{}), storeBackoff: storeBackoffMin,
@@ -188,7 +202,6 @@
 
 // Serve keeps the state up to date until the context ends, and returns its error.
 func (f *Follower) Serve(ctx context.Context) error {
-	f.staleJitter = rand.Float64()
 	tick := time.NewTimer(checkIntervalUnanswered)
 	defer tick.Stop()
 	snapshotCtx, cancel := context.WithCancel(ctx)
@@ -241,11 +254,20 @@
 // a source begin at 1.
 const snapshotSessionID = 0
 
+// checkInterval returns the pause until the next choice of a source, which is no later than the
+// moment from which the gateway is to ask the store.
 func (f *Follower) checkInterval() time.Duration {
-	if f.session != nil && f.session.answered {
-		return checkIntervalAnswered
+	if f.session == nil || !f.session.answered {
+		return checkIntervalUnanswered
+	}
+	age, interval := f.age(), checkIntervalAnswered
+	if age > f.options.Timing.LeaderStaleAge {
+		interval = min(interval, f.options.Timing.StaleCheck)
 	}
-	return checkIntervalUnanswered
+	if left := f.staleLimit(f.roles) - age; left > 0 {
+		interval = min(interval, left+time.Millisecond)
+	}
+	return interval
 }
 
 func (f *Follower) startSession(ctx context.Context, source Source, now time.Time) {
@@ -301,7 +323,8 @@
 		return
 	}
 	s.age = e.batch.Age
-	if !s.answered {
+	first := !s.answered
+	if first {
 		s.answered = true
 		f.log.With("source", s.source.Name()).With("age", e.batch.Age).With("revision", e.batch.Revision).Infof("source answers")
 	}
@@ -319,6 +342,9 @@
 	if !changed && (s.source.Direct() || f.confirmedAt.Load()-confirmed > int64(f.options.Timing.Heartbeat/2)) {
 		f.confirm()
 	}
+	if first && s.forLeader && !f.leader {
+		f.options.ActAsLeader(now)
+	}
 	f.checkSourceAge(ctx, s, e.batch.Age, now)
 }
 
--- a/internal/discovery/timing.go
+++ b/internal/discovery/timing.go
@@ -41,9 +41,12 @@
 	// any other gateway ask the store themselves. Leaders come first, because others follow
 	// them.
 	LeaderStaleAge, FollowerStaleAge time.Duration
-	// StaleSpread bounds the random delay that spreads the calls to the store by gateways
-	// that lost the same source.
+	// StaleSpread bounds the delay that spreads the calls to the store by gateways that lost
+	// the same source.
 	StaleSpread time.Duration
+	// StaleCheck is the pause between two choices of a source while the data are older than
+	// LeaderStaleAge.
+	StaleCheck time.Duration
 	// LeaderRetry and FollowerRetry are the pauses after which a leader that is not the
 	// reader and any other gateway retry a failing store. Every gateway retries, because
 	// gateways disagree on who is the reader while the store answers none of them, and a
@@ -61,7 +64,7 @@
 	return Timing{
 		WatchWait: share(40), WatchMargin: share(20), ReadTimeout: share(35), BatchDelay: share(10),
 		Heartbeat: share(20), UpdateTimeout: share(38), FirstUpdateTimeout: share(15), NoDataTimeout: share(15),
-		LeaderStaleAge: share(60), FollowerStaleAge: share(65), StaleSpread: share(10),
+		LeaderStaleAge: share(60), FollowerStaleAge: share(65), StaleSpread: share(10), StaleCheck: share(4),
 		LeaderRetry: share(50), FollowerRetry: share(100), MaxFailureGap: share(125),
 	}
 }
--- a/internal/fleet/cut_leader_test.go
+++ b/internal/fleet/cut_leader_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"github.com/baobabstack/baobabstack/internal/discovery"
@@ -74,8 +75,9 @@
 // startMember starts what a gateway needs to follow others and be followed. The returned value
 // is the revision of its data.
 func startMember(ctx context.Context, self *fleetwire.Member, all []*fleetwire.Member, store discovery.Store) *atomic.Uint64 {
-	members := NewMembers(self)
+	members := NewMembers(proto.CloneOf(self))
 	members.Merge(all, time.Now())
+	gossip := NewGossip(members, self.GossipAddress, func() []string { return nil })
 	var revision atomic.Uint64
 	follower := discovery.NewFollower(discovery.Options{
 		Decoder: plainDecoder{}, Store: store, Timing: testTiming,
@@ -87,28 +89,31 @@
 				members.MarkStoreUnreachable(self.Id, now)
 			}
 		},
-		Publish: func(v discovery.View) { revision.Store(v.Revision.Number) },
+		ActAsLeader: gossip.AnnounceLeader,
+		Publish:     func(v discovery.View) { revision.Store(v.Revision.Number) },
 	})
 	go func() { _ = NewService(self.Address, members, follower, testTiming).Serve(ctx) }()
-	go func() { _ = NewGossip(members, self.GossipAddress, func() []string { return nil }).Serve(ctx) }()
+	go func() { _ = gossip.Serve(ctx) }()
 	go func() { _ = follower.Serve(ctx) }()
 	return &revision
 }
 
-// Guards against an old configuration, and work for servers that leave, at gateways whose leader
-// answers them but is cut off from the store and from other data centres.
-func TestChangeIsKnownInTimeBehindALeaderThatIsCutOff(t *testing.T) {
-	const (
-		followers, elsewhere = 30, 93
-		// callsPerSecond is what all gateways together may ask of the store while their leaders answer.
-		callsPerSecond = 30
-	)
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	store := &sharedStore{confirmed: make(chan struct{})}
-	store.revision.Store(7)
+// cuttableFleet is the gateways of one data centre, by rank, in a fleet of which the others are
+// out of reach.
+type cuttableFleet struct {
+	store     *sharedStore
+	links     []*storeLink
+	revisions []*atomic.Uint64
+}
+
+// startCuttableFleet starts 31 gateways in a fleet of 124 and waits until all have data.
+func startCuttableFleet(ctx context.Context, t *testing.T) *cuttableFleet {
+	t.Helper()
+	const near, elsewhere = 31, 93
+	f := &cuttableFleet{store: &sharedStore{confirmed: make(chan struct{})}}
+	f.store.revision.Store(7)
 	var all []*fleetwire.Member
-	for i := range followers + 1 {
+	for i := range near {
 		m := testMember("x"+strconv.Itoa(i), "x", uint32(100-i))
 		for _, address := range []*string{&m.Address, &m.GossipAddress} {
 			free, err := standin.FreeAddress()
@@ -123,34 +128,69 @@
 		m.Address, m.GossipAddress = silent, "127.0.0.1:9"
 		all = append(all, m)
 	}
-	links, revisions := make([]*storeLink, followers+1), make([]*atomic.Uint64, followers+1)
-	for i := range links {
-		links[i] = &storeLink{sharedStore: store}
-		revisions[i] = startMember(ctx, all[i], all, links[i])
+	for _, self := range all[:near] {
+		link := &storeLink{sharedStore: f.store}
+		f.links = append(f.links, link)
+		f.revisions = append(f.revisions, startMember(ctx, self, all, link))
 	}
-	known := func(want uint64) (n int) {
-		for _, revision := range revisions[1:] {
-			if revision.Load() >= want {
-				n++
-			}
-		}
-		return n
-	}
-	for begin := time.Now(); known(7) < followers; time.Sleep(time.Millisecond) {
-		assert.Assert(t, time.Since(begin) < 5*time.Second, "%d of %d gateways have data", known(7), followers)
+	for begin := time.Now(); f.behind(7) > 0; time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Since(begin) < 5*time.Second, "%d gateways have no data", f.behind(7))
 	}
 	time.Sleep(testTiming.WatchWait)
+	return f
+}
 
-	<-store.confirmed // the store has just confirmed the leader's data
-	links[0].cut.Store(true)
-	calls := store.calls.Load()
-	changed := time.Now()
-	store.revision.Store(8)
-	for known(8) < followers && time.Since(changed) < discovery.DefaultChangeBound {
+// behind returns the number of gateways that are not cut off and don't have a revision.
+func (f *cuttableFleet) behind(revision uint64) (n int) {
+	for i, link := range f.links {
+		if !link.cut.Load() && f.revisions[i].Load() < revision {
+			n++
+		}
+	}
+	return n
+}
+
+// changeWhileCut cuts gateways off right after the store has confirmed the data, and checks that
+// all others know a change that follows within the bound.
+func (f *cuttableFleet) changeWhileCut(t *testing.T, cut ...int) {
+	t.Helper()
+	// callsPerSecond is what all gateways together may ask of the store while their leaders answer.
+	const callsPerSecond = 30
+	<-f.store.confirmed
+	for _, i := range cut {
+		f.links[i].cut.Store(true)
+	}
+	calls, changed := f.store.calls.Load(), time.Now()
+	revision := f.store.revision.Add(1)
+	for f.behind(revision) > 0 && time.Since(changed) < discovery.DefaultChangeBound {
 		time.Sleep(time.Millisecond)
 	}
-	calls = store.calls.Load() - calls
-	t.Logf("%d of %d gateways know the change after %s, with %d calls to the store", known(8), followers, time.Since(changed), calls)
-	assert.Equal(t, known(8), followers)
-	assert.Assert(t, float64(calls) <= callsPerSecond*(discovery.DefaultChangeBound-testTiming.FollowerStaleAge).Seconds(), "the calls must not grow with the fleet")
+	took, behind := time.Since(changed), f.behind(revision)
+	calls = f.store.calls.Load() - calls
+	t.Logf("after %s, with %d calls to the store, %d gateways don't know the change", took, calls, behind)
+	assert.Equal(t, behind, 0)
+	most := callsPerSecond * (discovery.DefaultChangeBound - testTiming.FollowerStaleAge).Seconds()
+	assert.Assert(t, float64(calls) <= most, "%d calls, which must not grow with the fleet", calls)
+}
+
+// Guards against an old configuration, and work for servers that leave, at gateways whose leader
+// answers them but is cut off from the store and from other data centres.
+func TestChangeIsKnownInTimeBehindALeaderThatIsCutOff(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		cuts [][]int // one change after the other
+	}{
+		{"the leader", [][]int{{0}}},
+		{"the leader and those whose turn comes first", [][]int{{0, 1, 2}}},
+		{"the leader, then the one that acts in its place", [][]int{{0}, {1}}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			f := startCuttableFleet(ctx, t)
+			for _, cut := range test.cuts {
+				f.changeWhileCut(t, cut...)
+			}
+		})
+	}
 }
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -250,7 +250,10 @@
 	if len(roles.Sources) == 0 {
 		return seedSources(m, seeds, timing)
 	}
-	p := discovery.Roles{ReadsStore: roles.ReadsStore, Leader: roles.Leader, Members: m.LiveCount(now)}
+	p := discovery.Roles{
+		ReadsStore: roles.ReadsStore, Leader: roles.Leader, LeaderConfirmedAt: roles.LeaderConfirmedAt,
+		Turn: roles.Turn, Members: m.LiveCount(now),
+	}
 	for _, target := range roles.Sources {
 		p.Sources = append(p.Sources, Peer{members: m, target: target, timing: timing})
 	}
@@ -258,7 +261,7 @@
 }
 
 func seedSources(m *Members, seeds []string, timing discovery.Timing) discovery.Roles {
-	var p discovery.Roles
+	p := discovery.Roles{Turn: float64(hash(m.selfEntry())) / (1 << 32)}
 	for _, address := range seeds {
 		if address == m.self.Address {
 			return discovery.Roles{ReadsStore: true, Leader: true}
--- a/internal/fleet/gossip.go
+++ b/internal/fleet/gossip.go
@@ -48,6 +48,8 @@
 	address string
 	seeds   func() []string
 	log     logs.Logger
+	// announce receives a value when the own entry is to be sent to the whole data centre.
+	announce chan struct{}
 
 	started time.Time
 	// Seeds that findUnheardSeeds returns are asked at askSeedsAt, and again after
@@ -59,7 +61,19 @@
 // NewGossip returns a Gossip that listens on a UDP address. The seeds function
 // returns the current gossip addresses of the seeds.
 func NewGossip(members *Members, address string, seeds func() []string) *Gossip {
-	return &Gossip{members: members, address: address, seeds: seeds, log: logs.For("fleet")}
+	return &Gossip{members: members, address: address, seeds: seeds, log: logs.For("fleet"), announce: make(chan struct{}, 1)}
+}
+
+// AnnounceLeader makes this gateway act as leader of its data centre, unless another does, and
+// has all others there told at once.
+func (g *Gossip) AnnounceLeader(now time.Time) {
+	if !g.members.ActAsLeader(now) {
+		return
+	}
+	select {
+	case g.announce <- struct{}{}:
+	default: // one is pending already
+	}
 }
 
 // Serve exchanges gossip until the context ends and returns the context's error. It
@@ -86,12 +100,22 @@
 		}
 		select {
 		case <-time.After(pause):
+		case <-g.announce:
+			g.sendToDataCentre(socket)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
 }
 
+// sendToDataCentre sends this gateway's entry to all others of its data centre.
+func (g *Gossip) sendToDataCentre(socket net.PacketConn) {
+	self := g.members.Heartbeat()
+	for _, w := range g.members.liveMembers(time.Now(), func(k *member) bool { return k.wire.Zone == self.Zone }) {
+		g.send(socket, w.GossipAddress, w.Zone, &fleetwire.Gossip{Members: []*fleetwire.Member{self}})
+	}
+}
+
 // round sends one datagram and returns the pause until the next, with a jitter of
 // 25% either way.
 func (g *Gossip) round(socket net.PacketConn) time.Duration {
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -54,7 +54,10 @@
 	self *fleetwire.Member
 	// storeUnreachableAt is when the store last failed to answer this gateway.
 	storeUnreachableAt time.Time
-	size               sizeState
+	// terms counts how often this gateway has begun to act as leader, last at actingSince.
+	terms       uint32
+	actingSince time.Time
+	size        sizeState
 	// known holds the other gateways by their ids.
 	known map[string]*member
 	// byHash holds the same members by their hashes.
@@ -62,14 +65,16 @@
 }
 
 // member is another gateway in the table. heardAt is when its last new beat arrived,
-// suspectAt when it last failed as a source, and storeUnreachableAt when it last
-// reported that the store does not answer it.
+// suspectAt when it last failed as a source, storeUnreachableAt when it last
+// reported that the store does not answer it, and actingSince when it was first heard
+// to act as leader in its present term.
 type member struct {
 	wire               *fleetwire.Member
 	hash               uint32
 	heardAt            time.Time
 	suspectAt          time.Time
 	storeUnreachableAt time.Time
+	actingSince        time.Time
 }
 
 // NewMembers returns a table that holds only this gateway's entry.
@@ -88,7 +93,7 @@
 // selfEntryLocked returns a copy of this gateway's entry. The caller holds m.mu.
 func (m *Members) selfEntryLocked() *fleetwire.Member {
 	s := m.self
-	return &fleetwire.Member{Id: s.Id, Address: s.Address, Zone: s.Zone, Incarnation: s.Incarnation, Beat: s.Beat, Leaving: s.Leaving, GossipAddress: s.GossipAddress, Capacity: s.Capacity, Lost: s.Lost, Followers: s.Followers, Sharing: s.Sharing}
+	return &fleetwire.Member{Id: s.Id, Address: s.Address, Zone: s.Zone, Incarnation: s.Incarnation, Beat: s.Beat, Leaving: s.Leaving, GossipAddress: s.GossipAddress, Capacity: s.Capacity, Lost: s.Lost, Followers: s.Followers, Sharing: s.Sharing, ActingTerm: s.ActingTerm}
 }
 
 // Leave marks this gateway as leaving, which other gateways learn by gossip.
@@ -124,13 +129,7 @@
 		if ok && !newer(n, old.wire) {
 			continue
 		}
-		fresh := &member{wire: n, hash: hash(n), heardAt: now}
-		if ok && old.wire.Incarnation == n.Incarnation {
-			fresh.suspectAt = old.suspectAt // storeUnreachableAt follows from the newer entry
-		}
-		if n.Lost {
-			fresh.storeUnreachableAt = now
-		}
+		fresh := newMember(n, old, now)
 		if ok {
 			delete(m.byHash, old.hash)
 		}
@@ -144,6 +143,25 @@
 	}
 }
 
+// newMember returns the member for an entry that was heard now, and that supersedes old, which is
+// nil if the gateway was not known.
+func newMember(n *fleetwire.Member, old *member, now time.Time) *member {
+	fresh := &member{wire: n, hash: hash(n), heardAt: now}
+	if n.Lost {
+		fresh.storeUnreachableAt = now
+	}
+	if n.ActingTerm > 0 {
+		fresh.actingSince = now
+	}
+	if old != nil && old.wire.Incarnation == n.Incarnation {
+		fresh.suspectAt = old.suspectAt // storeUnreachableAt follows from the newer entry
+		if n.ActingTerm == old.wire.ActingTerm {
+			fresh.actingSince = old.actingSince
+		}
+	}
+	return fresh
+}
+
 // raiseIncarnation raises this process's incarnation above that of an earlier process
 // of the same gateway. The earlier incarnation is higher if the system clock was set
 // back since that process started; the other gateways would then ignore this process.
@@ -341,27 +359,34 @@
 // Roles says whether a gateway reads the store, and which gateways it follows.
 type Roles struct {
 	// ReadsStore is true if this gateway reads the store for the whole fleet, Leader if
-	// it ranks first in its data centre.
+	// it leads its data centre.
 	ReadsStore, Leader bool
+	// LeaderConfirmedAt is when the store had answered the leader, if it acts in place of the
+	// first in rank, otherwise the zero time.
+	LeaderConfirmedAt time.Time
+	// Turn is this gateway's place in rank among those of its data centre that don't lead it,
+	// from 0 for the first to just under 1 for the last.
+	Turn float64
 	// Sources are the gateways to follow, in order of preference.
 	Sources []*fleetwire.Member
 }
 
 // Roles ranks the live gateways by capacity and returns this gateway's roles. The
 // reader is the first gateway in this order that the store answers, or the first of all
-// if the store answers none. The leader of each data centre follows the reader, and the
-// other gateways follow their leader, so that an update is sent only once to each data
-// centre other than the reader's.
+// if the store answers none. The leader of each data centre, the first in rank or one that acts
+// in its place, follows the reader, and the other gateways follow their leader, so that an
+// update is sent only once to each data centre other than the reader's.
 func (m *Members) Roles(now time.Time) Roles {
 	m.expireStoreUnreachable(now)
+	m.expireActing(now)
 	ranked := append(m.liveMembers(now, func(k *member) bool {
 		return k.suspectAt.IsZero() || now.Sub(k.suspectAt) > suspectPeriod
 	}), m.selfEntry())
 	slices.SortFunc(ranked, compareRank)
 	first := slices.IndexFunc(ranked, func(w *fleetwire.Member) bool { return !m.isStoreUnreachable(w.Id, now) })
 	reader := ranked[max(first, 0)]
-	leader := ranked[slices.IndexFunc(ranked, func(w *fleetwire.Member) bool { return w.Zone == m.self.Zone })]
-	r := Roles{ReadsStore: reader.Id == m.self.Id, Leader: leader.Id == m.self.Id}
+	leader, actingSince := m.leader(ranked, now)
+	r := Roles{ReadsStore: reader.Id == m.self.Id, Leader: leader.Id == m.self.Id, LeaderConfirmedAt: actingSince, Turn: m.turn(ranked, leader)}
 	if !r.Leader && !r.ReadsStore {
 		r.Sources = append(r.Sources, leader)
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -84,19 +84,8 @@
 		Incarnation: uint64(o.started.UnixNano()), //nolint:gosec // after 1970
 	})
 	h := newHandler(o, newCounters())
-	reg := newRegistry(o)
-	follower := discovery.NewFollower(discovery.Options{
-		Decoder: o.Decoder, Store: o.Store, Timing: o.Timing,
-		Roles: func(now time.Time) discovery.Roles {
-			return fleet.Sources(o.Members, *o.seeds.Load(), o.Timing, now)
-		},
-		SetStoreReachable: o.setStoreReachable,
-		Publish: func(v discovery.View) {
-			if h.current.set(reg.build(v, time.Now())) {
-				log.With("after", time.Since(o.started).Round(time.Millisecond)).Infof("ready: configuration and servers are known")
-			}
-		},
-	})
+	gossip := fleet.NewGossip(o.Members, s.Listen.Gossip, o.gossipSeeds)
+	follower := o.newFollower(h, gossip)
 	callers := &callersListener{options: httpserver.Options{
 		Name: "callers", Address: s.Listen.Callers, Handler: h, MaxBodyBytes: o.MaxBodyBytes,
 		MemoryBytes: requestMemoryBytes(s.VM.MemoryMB), IdleTimeout: callerIdleTimeout, Limits: h.limits,
@@ -109,7 +98,7 @@
 	for _, child := range []suture.Service{
 		follower, callers,
 		fleet.NewService(s.Listen.Fleet, o.Members, follower, o.Timing),
-		fleet.NewGossip(o.Members, s.Listen.Gossip, o.gossipSeeds),
+		gossip,
 		auxListener{name: "ready", address: s.Listen.Ready, path: s.Listen.ReadyPath, handle: stop.ready},
 		auxListener{name: "metrics", address: s.Listen.Metrics, path: s.Listen.MetricsPath, handle: writeMetrics},
 		&reloader{options: o, requests: reload, log: log},
@@ -131,6 +120,25 @@
 	return nil
 }
 
+// newFollower returns the follower that keeps h's snapshot of the configuration and the servers
+// up to date.
+func (o *Options) newFollower(h *handler, gossip *fleet.Gossip) *discovery.Follower {
+	reg := newRegistry(o)
+	return discovery.NewFollower(discovery.Options{
+		Decoder: o.Decoder, Store: o.Store, Timing: o.Timing,
+		Roles: func(now time.Time) discovery.Roles {
+			return fleet.Sources(o.Members, *o.seeds.Load(), o.Timing, now)
+		},
+		SetStoreReachable: o.setStoreReachable,
+		ActAsLeader:       gossip.AnnounceLeader,
+		Publish: func(v discovery.View) {
+			if h.current.set(reg.build(v, time.Now())) {
+				logs.For("gateway").With("after", time.Since(o.started).Round(time.Millisecond)).Infof("ready: configuration and servers are known")
+			}
+		},
+	})
+}
+
 const (
 	// callerDescriptorShare is the share of the VM's descriptors that callers' connections may
 	// use. The rest is for servers, other gateways and the store.
