discovery: Spread the gateways that have the same turn

What callers would see: many gateways that call the store in the same moment, when they know few of the others and so take the same turns, as after a start of the whole fleet. Cause: the turn alone decided when a gateway asks the store; the random share that there was before had gone. Change: each gateway waits its turns and a random share of one. A gateway without turns waits a random share of the whole time, as before. The tests that had moved from the random share to the turn are back in their earlier form.

--- a/internal/discovery/choose.go
+++ b/internal/discovery/choose.go
@@ -95,7 +95,8 @@
 	if f.leaderAnswers(roles) {
 		spread = max(spread, time.Duration(roles.Members)*storeTryInterval)
 	}
-	return t.FollowerStaleAge + time.Duration(roles.Turn*float64(spread))
+	share := (float64(roles.Turn) + f.staleJitter) / float64(max(roles.Turns, 1))
+	return t.FollowerStaleAge + time.Duration(share*float64(spread))
 }
 
 // shouldSwitch reports whether session s should be replaced by one with source next.
--- a/internal/discovery/choose_test.go
+++ b/internal/discovery/choose_test.go
@@ -13,8 +13,9 @@
 	store, first, second := newFakeSource("store", true), newFakeSource("first", false), newFakeSource("second", false)
 	f := NewFollower(Options{Decoder: textDecoder{}, Store: store, SetStoreReachable: func(bool, time.Time) {}, Publish: func(View) {}})
 	f.apply(first.full, time.Now())
+	f.staleJitter = 1
 	f.confirmedAt.Store(int64(f.clock.Now() - f.options.Timing.FollowerStaleAge - f.options.Timing.StaleSpread - time.Millisecond))
-	roles := Roles{Sources: []Source{first, second}, Members: 1000, Turn: 1}
+	roles := Roles{Sources: []Source{first, second}, Members: 1000}
 	f.session = &session{source: first, answered: true}
 	assert.Assert(t, !f.stale(roles), "the leader asks the store for all that follow it")
 	f.session = &session{source: second, answered: true}
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -105,9 +105,10 @@
 	// LeaderConfirmedAt is when the store had answered the first source, if that acts as
 	// leader in place of another, otherwise the zero time.
 	LeaderConfirmedAt time.Time
-	// Turn is the gateway's place among those of its data centre that ask the store because
-	// their leader does not confirm their data, from 0 for the first to 1.
-	Turn float64
+	// Turn is the gateway's place, from 0 on, among the Turns gateways of its data centre that
+	// ask the store one after the other if their leader does not confirm their data. If Turns is
+	// 0, they ask in random order.
+	Turn, Turns int
 	// Sources are other gateways, the best first.
 	Sources []Source
 	// Members is the number of gateways in the fleet, as far as they are known.
@@ -153,6 +154,7 @@
 	leader bool
 	// plan is what was last logged about data that are old, empty while they are not.
 	plan         plan
+	staleJitter  float64   // the random share of its turn that this gateway waits, 0 to 1
 	failingSince time.Time // the first failure of the store's present outage, or zero
 	storeBackoff time.Duration
 
@@ -202,6 +204,7 @@
 
 // Serve keeps the state up to date until the context ends, and returns its error.
 func (f *Follower) Serve(ctx context.Context) error {
+	f.staleJitter = rand.Float64()
 	tick := time.NewTimer(checkIntervalUnanswered)
 	defer tick.Stop()
 	snapshotCtx, cancel := context.WithCancel(ctx)
--- a/internal/discovery/follower_test.go
+++ b/internal/discovery/follower_test.go
@@ -359,7 +359,7 @@
 		for i := range fleet {
 			f := NewFollower(Options{Decoder: textDecoder{}, Store: store, SetStoreReachable: func(bool, time.Time) {}, Publish: func(View) {}})
 			f.apply(leader.full, time.Now())
-			roles.Turn = float64(i) / float64(fleet)
+			f.staleJitter = float64(i) / float64(fleet)
 			begin := time.Now()
 			for elapsed := time.Duration(0); elapsed < outage; elapsed += step {
 				f.confirmedAt.Store(int64(f.clock.Now() - elapsed))
@@ -381,8 +381,9 @@
 	f := NewFollower(Options{Decoder: textDecoder{}, Store: newFakeSource("store", true), SetStoreReachable: func(bool, time.Time) {}, Publish: func(View) {}})
 	peer := newFakeSource("peer", false)
 	f.apply(peer.full, time.Now())
+	f.staleJitter = 1
 	f.confirmedAt.Store(int64(f.clock.Now() - bound))
-	roles := Roles{Sources: []Source{peer}, Members: 1000, Turn: 1}
+	roles := Roles{Sources: []Source{peer}, Members: 1000}
 	now := time.Now()
 	assert.Assert(t, !f.stale(roles), "its leader answers")
 	f.sessionFailed(&session{source: peer, cancel: func() {}}, errDown, now)
--- a/internal/fleet/acting.go
+++ b/internal/fleet/acting.go
@@ -71,17 +71,16 @@
 	return leader, actingSince
 }
 
-// turn returns Roles.Turn, given the gateways by rank.
-func (m *Members) turn(ranked []*fleetwire.Member, leader *fleetwire.Member) float64 {
-	before, all := 0, 0
+// turn returns Roles.Turn and Roles.Turns, given the gateways by rank.
+func (m *Members) turn(ranked []*fleetwire.Member, leader *fleetwire.Member) (turn, turns int) {
 	for _, w := range ranked {
 		switch {
 		case w.Zone != m.self.Zone || w.Id == leader.Id:
 			continue
 		case w.Id == m.self.Id:
-			before = all
+			turn = turns
 		}
-		all++
+		turns++
 	}
-	return float64(before) / float64(max(all, 1))
+	return turn, turns
 }
--- a/internal/fleet/acting_test.go
+++ b/internal/fleet/acting_test.go
@@ -88,10 +88,12 @@
 // gateway of a data centre has a turn of its own, but for the one that leads.
 func TestGatewaysOfADataCentreAskInTurn(t *testing.T) {
 	all := []*fleetwire.Member{testMember("a", "x", 40), testMember("b", "x", 30), testMember("c", "x", 20), testMember("d", "x", 10), testMember("e", "y", 25)}
-	for id, want := range map[string]float64{"b": 0, "c": 1. / 3, "d": 2. / 3} {
+	for id, want := range map[string]int{"b": 0, "c": 1, "d": 2} {
 		for _, self := range all {
 			if self.Id == id {
-				assert.Equal(t, newTestMembers(proto.CloneOf(self), all...).Roles(now).Turn, want, id)
+				r := newTestMembers(proto.CloneOf(self), all...).Roles(now)
+				assert.Equal(t, r.Turn, want, id)
+				assert.Equal(t, r.Turns, 3, id)
 			}
 		}
 	}
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -252,7 +252,7 @@
 	}
 	p := discovery.Roles{
 		ReadsStore: roles.ReadsStore, Leader: roles.Leader, LeaderConfirmedAt: roles.LeaderConfirmedAt,
-		Turn: roles.Turn, Members: m.LiveCount(now),
+		Turn: roles.Turn, Turns: roles.Turns, Members: m.LiveCount(now),
 	}
 	for _, target := range roles.Sources {
 		p.Sources = append(p.Sources, Peer{members: m, target: target, timing: timing})
@@ -261,7 +261,7 @@
 }
 
 func seedSources(m *Members, seeds []string, timing discovery.Timing) discovery.Roles {
-	p := discovery.Roles{Turn: float64(hash(m.selfEntry())) / (1 << 32)}
+	var p discovery.Roles
 	for _, address := range seeds {
 		if address == m.self.Address {
 			return discovery.Roles{ReadsStore: true, Leader: true}
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -364,9 +364,9 @@
 	// LeaderConfirmedAt is when the store had answered the leader, if it acts in place of the
 	// first in rank, otherwise the zero time.
 	LeaderConfirmedAt time.Time
-	// Turn is this gateway's place in rank among those of its data centre that don't lead it,
-	// from 0 for the first to just under 1 for the last.
-	Turn float64
+	// Turn is this gateway's place in rank, from 0 on, among the Turns of its data centre that
+	// don't lead it, as far as they are known.
+	Turn, Turns int
 	// Sources are the gateways to follow, in order of preference.
 	Sources []*fleetwire.Member
 }
@@ -386,7 +386,8 @@
 	first := slices.IndexFunc(ranked, func(w *fleetwire.Member) bool { return !m.isStoreUnreachable(w.Id, now) })
 	reader := ranked[max(first, 0)]
 	leader, actingSince := m.leader(ranked, now)
-	r := Roles{ReadsStore: reader.Id == m.self.Id, Leader: leader.Id == m.self.Id, LeaderConfirmedAt: actingSince, Turn: m.turn(ranked, leader)}
+	r := Roles{ReadsStore: reader.Id == m.self.Id, Leader: leader.Id == m.self.Id, LeaderConfirmedAt: actingSince}
+	r.Turn, r.Turns = m.turn(ranked, leader)
 	if !r.Leader && !r.ReadsStore {
 		r.Sources = append(r.Sources, leader)
 	}
